--- /dev/null
+++ b/src/base/instant.h
@@ -0,0 +1,33 @@
+// A point on the monotonic time line of one process. The shell reads the clock and hands instants to the core.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <limits>
+
+#include "base/duration.h"
+
+namespace mangonotch::base {
+
+class Instant {
+ public:
+  constexpr Instant() = default;
+  static constexpr Instant FromNanoseconds(std::int64_t n) { return Instant(n); }
+  static constexpr Instant Never() { return Instant(std::numeric_limits<std::int64_t>::max()); }
+
+  constexpr std::int64_t nanoseconds() const { return nanoseconds_; }
+
+  constexpr auto operator<=>(const Instant&) const = default;
+  constexpr Instant operator+(Duration d) const { return Instant(nanoseconds_ + d.nanoseconds()); }
+  constexpr Instant operator-(Duration d) const { return Instant(nanoseconds_ - d.nanoseconds()); }
+  constexpr Duration operator-(Instant other) const {
+    return Duration::Nanoseconds(nanoseconds_ - other.nanoseconds_);
+  }
+
+ private:
+  explicit constexpr Instant(std::int64_t n) : nanoseconds_(n) {}
+
+  std::int64_t nanoseconds_ = 0;
+};
+
+}  // namespace mangonotch::base
