--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,6 +1,8 @@
 # Functions that declare a module of src/ and its unit tests.
 
 add_library(catch_main OBJECT ${CMAKE_SOURCE_DIR}/tests/catch_main.cc)
+# Catch2 itself is neither optimised nor instrumented: with sanitizers it takes minutes to compile.
+target_compile_options(catch_main PRIVATE -O0 -g0 -fno-sanitize=all)
 
 # mangonotch_module(NAME [DEPS module...] [LIBS library...])
 # Builds internal/*.cc into mangonotch_NAME (an interface library when there is none) and tests/*_test.cc into
--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,2 @@
+// Entry point of the mangonotch binary.
+int main() { return 0; }
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -8,8 +8,8 @@
 
 class Error : public std::runtime_error {
  public:
-  /// `step` names the operation that failed ("read table"), `peer` the other side ("store 127.0.0.1:7000", or empty
-  /// where there is none), `detail` the cause.
+  /// `step` names the operation that failed ("read table"), `peer` the other side ("store
+  /// 127.0.0.1:7000", or empty where there is none), `detail` the cause.
   Error(std::string step, std::string peer, const std::string& detail)
       : std::runtime_error(step + (peer.empty() ? "" : " [" + peer + "]") + ": " + detail),
         step_(std::move(step)),
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -1,4 +1,5 @@
-// Identifiers that core modules share. Positions are indexes into one table revision; keys are stable across revisions.
+// Identifiers that core modules share. Positions are indexes into one table revision; keys are
+// stable across revisions.
 #pragma once
 
 #include <compare>
--- a/src/base/instant.h
+++ b/src/base/instant.h
@@ -1,4 +1,5 @@
-// A point on the monotonic time line of one process. The shell reads the clock and hands instants to the core.
+// A point on the monotonic time line of one process. The shell reads the clock and hands instants
+// to the core.
 #pragma once
 
 #include <compare>
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -18,7 +18,8 @@
 
   /// Uniform in [0, n); `n` must not be zero.
   constexpr std::uint32_t Below(std::uint32_t n) {
-    return static_cast<std::uint32_t>((static_cast<std::uint64_t>(static_cast<std::uint32_t>(Next())) * n) >> 32);
+    return static_cast<std::uint32_t>(
+        (static_cast<std::uint64_t>(static_cast<std::uint32_t>(Next())) * n) >> 32);
   }
 
   /// Uniform in [0, 1).
--- /dev/null
+++ b/src/shares/messages.h
@@ -0,0 +1,112 @@
+// Messages between the members of a region (and hosts of other regions that ask for its slots) and
+// its coordinator, free of any encoding. Each line stands by itself, so a message may carry any
+// subset of lines.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "membership/host_ref.h"
+#include "membership/messages.h"
+
+namespace mangonotch::shares {
+
+/// Slots of one target and class that a host holds or asks for.
+struct HoldingLine {
+  base::TargetKey target;
+  base::WorkClass work_class = base::WorkClass::kShort;
+  /// Slots the host counts as its own until the coordinator lowers them; it has given back all
+  /// others.
+  std::uint16_t held = 0;
+  /// Slots with a request in flight; never more than `held` while the grant is in force.
+  std::uint16_t in_use = 0;
+
+  bool operator==(const HoldingLine&) const = default;
+};
+
+/// Slots that a host could use now for a service, beyond those it has in use.
+struct DemandLine {
+  base::ServiceKey service;
+  base::WorkClass work_class = base::WorkClass::kShort;
+  std::uint16_t wanted = 0;
+
+  bool operator==(const DemandLine&) const = default;
+};
+
+/// From a host to the coordinator of a region.
+struct Heartbeat {
+  membership::HostInfo sender;
+  std::uint64_t sequence = 0;
+  /// Highest coordinator epoch of the addressed region that the sender has seen.
+  base::Epoch epoch = 0;
+  std::string region;
+  std::vector<HoldingLine> holdings;
+  std::vector<DemandLine> demand;
+  std::vector<membership::LeavingMark> marks;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+/// Slots granted to the receiver: the new total it may hold. Lower than what it holds, it is a
+/// recall: the receiver stops using the surplus and reports it as given back once no request is in
+/// flight on it.
+struct GrantLine {
+  base::TargetKey target;
+  base::WorkClass work_class = base::WorkClass::kShort;
+  std::uint16_t slots = 0;
+
+  bool operator==(const GrantLine&) const = default;
+};
+
+/// From the coordinator, in answer to one heartbeat.
+struct HeartbeatReply {
+  membership::HostRef sender;
+  std::string region;
+  /// Sequence of the heartbeat it answers; the grant deadline counts from when that heartbeat was
+  /// sent.
+  std::uint64_t sequence = 0;
+  base::Epoch epoch = 0;
+  base::Revision table_revision = 0;
+  std::vector<GrantLine> grants;
+  std::vector<membership::HostInfo> hosts;
+  std::vector<membership::LeavingMark> marks;
+
+  bool operator==(const HeartbeatReply&) const = default;
+};
+
+/// From a holder of a region lease that cannot reach the store, to each standby.
+struct PromiseRequest {
+  membership::HostRef sender;
+  std::string region;
+  base::Epoch epoch = 0;
+  std::uint64_t sequence = 0;
+
+  bool operator==(const PromiseRequest&) const = default;
+};
+
+/// A standby promises not to take over for the promise term, or for ever when it is stopping in
+/// order.
+struct Promise {
+  membership::HostRef sender;
+  std::string region;
+  base::Epoch epoch = 0;
+  std::uint64_t sequence = 0;
+  bool forever = false;
+
+  bool operator==(const Promise&) const = default;
+};
+
+/// The value of the store key region/<r>.
+struct RegionRecord {
+  base::Epoch epoch = 0;
+  membership::HostRef holder;
+  std::vector<membership::HostRef> standbys;
+  std::vector<membership::HostRef> grantees;
+  std::uint64_t renewal = 0;
+
+  bool operator==(const RegionRecord&) const = default;
+};
+
+}  // namespace mangonotch::shares
