Add settings of a host, and IP address and endpoint parsing

A fault in a settings file stops the start with every fault listed. The ticket register is bounded in entries and bytes, so both are settings.

--- /dev/null
+++ b/src/settings/internal/host_settings.cc
@@ -0,0 +1,191 @@
+// Reads and checks the settings file.
+#include "settings/host_settings.h"
+
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "jsonc/parse.h"
+#include "jsonc/reader.h"
+
+namespace mangonotch::settings {
+namespace {
+
+using base::Duration;
+using jsonc::FaultList;
+using jsonc::IntegerRange;
+using jsonc::Reader;
+
+constexpr std::int64_t kMebibyte = 1024 * 1024;
+constexpr std::int64_t kHourMs = 3'600'000;
+
+std::string ReadName(Reader& reader, std::string_view field) {
+  std::string name = reader.String(field);
+  if (name.empty() && reader.Has(field)) {
+    reader.Fail(field, "a name", "an empty string");
+  }
+  return name;
+}
+
+std::string ReadEndpoint(Reader& reader, std::string_view field) {
+  std::string text = reader.String(field);
+  if (!text.empty() && !base::ParseEndpoint(text)) {
+    reader.Fail(field, "ip:port, such as 10.0.0.1:7000 or [2001:db8::1]:7000", '"' + text + '"');
+  }
+  return text;
+}
+
+Seed ReadSeed(Reader& reader) {
+  Seed seed;
+  seed.host = ReadName(reader, "host");
+  seed.region = ReadName(reader, "region");
+  seed.zone = ReadName(reader, "zone");
+  seed.callers = ReadEndpoint(reader, "callers");
+  seed.peers = ReadEndpoint(reader, "peers");
+  seed.peer_http = ReadEndpoint(reader, "peer_http");
+  reader.RefuseUnknownFields();
+  return seed;
+}
+
+ListenAddresses ReadListen(Reader reader) {
+  ListenAddresses listen;
+  std::set<std::string> seen;
+  const std::pair<std::string_view, std::string*> fields[] = {{"callers", &listen.callers},
+                                                              {"peers", &listen.peers},
+                                                              {"peer_http", &listen.peer_http},
+                                                              {"metrics", &listen.metrics},
+                                                              {"admin", &listen.admin}};
+  for (const auto& [field, address] : fields) {
+    *address = ReadEndpoint(reader, field);
+    if (!address->empty() && !seen.insert(*address).second) {
+      reader.Fail(field, "an address of its own", '"' + *address + "\" a second time");
+    }
+  }
+  reader.RefuseUnknownFields();
+  return listen;
+}
+
+HostLimits ReadLimits(Reader reader) {
+  const HostLimits base;
+  HostLimits limits;
+  const auto count = [&](std::string_view field, const IntegerRange& range, std::size_t fallback) {
+    return static_cast<std::size_t>(
+        reader.IntegerOr(field, range, static_cast<std::int64_t>(fallback)));
+  };
+  const auto time = [&](std::string_view field, Duration fallback) {
+    return Duration::Milliseconds(
+        reader.IntegerOr(field, {1, kHourMs, "ms"}, fallback.milliseconds()));
+  };
+  limits.connections = count("connections", {1, 100'000}, base.connections);
+  limits.header_bytes = count("header_bytes", {256, kMebibyte, "bytes"}, base.header_bytes);
+  limits.body_bytes = count("body_bytes", {0, 64 * kMebibyte, "bytes"}, base.body_bytes);
+  limits.header_time = time("header_time_ms", base.header_time);
+  limits.body_time = time("body_time_ms", base.body_time);
+  limits.idle_time = time("idle_time_ms", base.idle_time);
+  limits.traffic_threads = count("traffic_threads", {1, 256, "threads"}, base.traffic_threads);
+  limits.tickets = count("tickets", {1, 10'000'000}, base.tickets);
+  limits.ticket_bytes = count("ticket_bytes", {1, 1024 * kMebibyte, "bytes"}, base.ticket_bytes);
+  reader.RefuseUnknownFields();
+  return limits;
+}
+
+LogLevel ReadLogLevel(Reader& reader) {
+  static const std::map<std::string, LogLevel, std::less<>> kLevels = {
+      {"debug", LogLevel::kDebug},
+      {"info", LogLevel::kInfo},
+      {"warning", LogLevel::kWarning},
+      {"error", LogLevel::kError}};
+  const std::string text = reader.StringOr("log_level", "info");
+  const auto it = kLevels.find(text);
+  if (it == kLevels.end()) {
+    reader.Fail("log_level", "debug, info, warning or error", '"' + text + '"');
+    return LogLevel::kInfo;
+  }
+  return it->second;
+}
+
+bool SameAddresses(const Seed& seed, const HostSettings& settings) {
+  return seed.region == settings.region && seed.zone == settings.zone &&
+         seed.callers == settings.listen.callers && seed.peers == settings.listen.peers &&
+         seed.peer_http == settings.listen.peer_http;
+}
+
+void ReadSeeds(Reader& root, HostSettings& settings) {
+  std::set<std::string> hosts;
+  std::set<std::string> addresses;
+  std::map<std::string, std::size_t> hosts_per_region = {{settings.region, 1}};
+  for (Reader& reader : root.Objects("seeds")) {
+    Seed seed = ReadSeed(reader);
+    if (!seed.host.empty() && !hosts.insert(seed.host).second) {
+      reader.Fail("host", "each host once", '"' + seed.host + "\" a second time");
+    }
+    for (const std::string* address : {&seed.callers, &seed.peers, &seed.peer_http}) {
+      if (!address->empty() && !addresses.insert(*address).second) {
+        reader.Fail("", "each address once", '"' + *address + "\" a second time");
+      }
+    }
+    if (seed.host == settings.host) {
+      if (!SameAddresses(seed, settings)) {
+        reader.Fail("", "the region, zone and listen addresses of this host",
+                    "other values under its name");
+      }
+      continue;
+    }
+    ++hosts_per_region[seed.region];
+    settings.seeds.push_back(std::move(seed));
+  }
+  for (const auto& [region, n] : hosts_per_region) {
+    if (n > kMaxHostsPerRegion) {
+      root.Fail("seeds", "at most " + std::to_string(kMaxHostsPerRegion) + " hosts in a region",
+                std::to_string(n) + " in " + region);
+    }
+  }
+}
+
+void ReadHostList(Reader reader, HostSettings& settings) {
+  settings.host_list = ReadEndpoint(reader, "address");
+  settings.host_list_path = reader.String("path");
+  if (!settings.host_list_path.empty() && settings.host_list_path.front() != '/') {
+    reader.Fail("path", "a path with a leading slash", '"' + settings.host_list_path + '"');
+  }
+  reader.RefuseUnknownFields();
+}
+
+}  // namespace
+
+HostSettings HostSettings::Parse(std::string_view text, std::string_view file) {
+  const jsonc::Value root = jsonc::Parse(text, file);
+  FaultList faults(file);
+  Reader reader(root, "", faults);
+  HostSettings settings;
+  settings.host = ReadName(reader, "host");
+  settings.region = ReadName(reader, "region");
+  settings.zone = ReadName(reader, "zone");
+  settings.listen = ReadListen(reader.Object("listen"));
+  ReadSeeds(reader, settings);
+  settings.store = ReadEndpoint(reader, "store");
+  ReadHostList(reader.Object("host_list"), settings);
+  if (const auto limits = reader.ObjectIfAny("limits")) {
+    settings.limits = ReadLimits(*limits);
+  }
+  settings.log_level = ReadLogLevel(reader);
+  reader.RefuseUnknownFields();
+  faults.ThrowIfAny("read settings");
+  return settings;
+}
+
+HostSettings HostSettings::ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in || !text) {
+    throw base::Error("read settings", path, "the file cannot be read");
+  }
+  return Parse(text.str(), path);
+}
+
+}  // namespace mangonotch::settings
