--- /dev/null
+++ b/src/table/internal/table_reader.cc
@@ -0,0 +1,246 @@
+// The table as a whole: head, history, regions, links and client blocks. service_reader.cc reads
+// the services.
+#include "table/internal/table_reader.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace mangonotch::table::internal {
+namespace {
+
+using jsonc::IntegerRange;
+using jsonc::Reader;
+
+constexpr IntegerRange kDistanceMs = {0, 10'000, "ms"};
+constexpr IntegerRange kBytesPerSecond = {1, 1'000'000'000'000, "bytes/s"};
+constexpr IntegerRange kLookupTtlMs = {100, kMaxLookupTtlMs, "ms"};
+constexpr std::size_t kMaxNameLength = 64;
+
+/// Reads "10.1.0.0/16" into the block; false when it is none or has bits set behind the prefix.
+bool ParseBlock(ClientBlock& block) {
+  const std::string_view text = block.block;
+  const std::size_t n = text.find('/');
+  const auto address = base::ParseIpAddress(text.substr(0, n));
+  if (n == std::string_view::npos || !address) {
+    return false;
+  }
+  std::string_view length_text = text.substr(n + 1);
+  const auto length = base::internal::TakeNumber(length_text, 10, 3);
+  if (!length || !length_text.empty() || *length > (address->is_v4 ? 32U : 128U)) {
+    return false;
+  }
+  block.address = *address;
+  block.prefix_length = static_cast<std::uint8_t>(*length);
+  const std::size_t prefix_bits = *length + (address->is_v4 ? 96U : 0U);
+  for (std::size_t bit = prefix_bits; bit < 128; ++bit) {
+    if ((address->bytes[bit / 8] >> (7 - bit % 8) & 1) != 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+}
+
+}  // namespace
+
+std::string ReadName(Reader& reader, std::string_view field) {
+  std::string name = reader.String(field);
+  const bool valid = !name.empty() && name.size() <= kMaxNameLength &&
+                     std::all_of(name.begin(), name.end(), IsNameCharacter) &&
+                     name.front() != '-' && name.back() != '-';
+  if (!valid && reader.Has(field)) {
+    reader.Fail(field, "a name of lower-case letters, digits and inner dashes, at most 64",
+                '"' + name + '"');
+  }
+  return name;
+}
+
+TableReader::TableReader(const jsonc::Value& root, jsonc::FaultList& faults)
+    : faults_(faults), root_(root, "", faults) {}
+
+Table TableReader::Read() {
+  table_.revision = static_cast<base::Revision>(root_.Integer("revision", {.min = 1}));
+  table_.author = root_.String("author");
+  table_.time_unix_ms = root_.Integer("time_unix_ms", {});
+  table_.edit_id = root_.String("edit_id");
+  table_.lookup_ttl_ms = static_cast<std::uint32_t>(
+      root_.IntegerOr("lookup_ttl_ms", kLookupTtlMs, table_.lookup_ttl_ms));
+  ReadHistory();
+  ReadRegions();
+  ReadLinks();
+  ReadClients();
+  ReadServices();
+  root_.RefuseUnknownFields();
+  return std::move(table_);
+}
+
+void TableReader::ReadHistory() {
+  std::set<std::string> edits;
+  for (Reader& reader : root_.ObjectsIfAny("history")) {
+    HistoryEntry entry;
+    entry.edit_id = reader.String("edit_id");
+    entry.revision = static_cast<base::Revision>(reader.Integer("revision", {.min = 1}));
+    entry.author = reader.String("author");
+    entry.time_unix_ms = reader.Integer("time_unix_ms", {});
+    entry.summary = reader.String("summary");
+    reader.RefuseUnknownFields();
+    if (!edits.insert(entry.edit_id).second) {
+      reader.Fail("edit_id", "each edit once", '"' + entry.edit_id + "\" a second time");
+    }
+    if (!table_.history.empty() && table_.history.back().revision >= entry.revision) {
+      reader.Fail("revision", "growing revisions", std::to_string(entry.revision));
+    }
+    if (entry.revision > table_.revision) {
+      reader.Fail("revision", "at most the revision of the table", std::to_string(entry.revision));
+    }
+    table_.history.push_back(std::move(entry));
+  }
+  if (table_.history.size() > kHistoryLength) {
+    root_.Fail("history", "at most " + std::to_string(kHistoryLength) + " edits",
+               std::to_string(table_.history.size()));
+  }
+}
+
+void TableReader::ReadRegions() {
+  std::vector<Reader> readers = root_.Objects("regions");
+  if (readers.empty()) {
+    root_.Fail("regions", "at least one region", "none");
+  }
+  for (Reader& reader : readers) {
+    const base::RegionIndex index{static_cast<std::uint32_t>(table_.regions.size())};
+    Region region{ReadName(reader, "name"), {}};
+    if (!regions_.emplace(region.name, index).second) {
+      reader.Fail("name", "each region once", '"' + region.name + "\" a second time");
+    }
+    const auto zones = reader.Strings("zones");
+    if (zones.empty()) {
+      reader.Fail("zones", "at least one zone", "none");
+    }
+    for (const jsonc::StringItem& zone : zones) {
+      const base::ZoneIndex zone_index{static_cast<std::uint32_t>(table_.zones.size())};
+      if (zone.text.empty() || !std::all_of(zone.text.begin(), zone.text.end(), IsNameCharacter)) {
+        faults_.Add(zone.line, zone.path, "a name of lower-case letters, digits and dashes",
+                    '"' + zone.text + '"');
+      }
+      if (!zones_.emplace(zone.text, zone_index).second) {
+        faults_.Add(zone.line, zone.path, "each zone once", '"' + zone.text + "\" a second time");
+      }
+      table_.zones.push_back({zone.text, index});
+    }
+    table_.regions.push_back(std::move(region));
+  }
+  ReadDistances(readers);
+}
+
+void TableReader::ReadDistances(std::span<Reader> readers) {
+  std::size_t n = 0;
+  // A second pass, since a region may name one that is listed after it.
+  for (Reader& reader : readers) {
+    Region& region = table_.regions[n++];
+    region.distance_ms.assign(table_.regions.size(), 0);
+    std::set<std::string> given = {region.name};
+    for (const jsonc::IntegerItem& item : reader.Integers("distance_ms", kDistanceMs)) {
+      const auto it = regions_.find(item.name);
+      if (it == regions_.end() || item.name == region.name) {
+        faults_.Add(item.line, item.path, "another region of this table", '"' + item.name + '"');
+        continue;
+      }
+      given.insert(item.name);
+      region.distance_ms[it->second.value] = static_cast<std::uint32_t>(item.value);
+    }
+    for (const auto& [name, index] : regions_) {
+      if (given.find(name) == given.end()) {
+        reader.Fail("distance_ms", "a distance to " + name, "none");
+      }
+    }
+    reader.RefuseUnknownFields();
+  }
+}
+
+void TableReader::ReadLinks() {
+  std::set<std::pair<base::RegionIndex, base::RegionIndex>> pairs;
+  const std::size_t faults_before = faults_.faults().size();
+  for (Reader& reader : root_.Objects("links")) {
+    const auto from = RegionField(reader, "from");
+    const auto to = RegionField(reader, "to");
+    const auto rate = static_cast<std::uint64_t>(reader.Integer("bytes_per_s", kBytesPerSecond));
+    reader.RefuseUnknownFields();
+    if (!from || !to) {
+      continue;
+    }
+    if (*from == *to) {
+      reader.Fail("to", "another region than in from", '"' + table_.RegionName(*to) + '"');
+    } else if (!pairs.emplace(*from, *to).second) {
+      reader.Fail("", "each direction of a link once", "it a second time");
+    }
+    table_.links.push_back({*from, *to, rate});
+  }
+  // A link with a misspelt region would be reported as a missing one, too.
+  if (faults_.faults().size() > faults_before) {
+    return;
+  }
+  for (const auto& [from_name, from] : regions_) {
+    for (const auto& [to_name, to] : regions_) {
+      if (from != to && pairs.count({from, to}) == 0) {
+        root_.Fail("links", "a link from " + from_name + " to " + to_name, "none");
+      }
+    }
+  }
+}
+
+void TableReader::ReadClients() {
+  std::set<std::pair<base::IpAddress, std::uint8_t>> blocks;
+  for (Reader& reader : root_.Objects("clients")) {
+    ClientBlock block;
+    block.block = reader.String("block");
+    const auto region = RegionField(reader, "region");
+    const auto zone = ZoneField(reader, "zone");
+    reader.RefuseUnknownFields();
+    if (!ParseBlock(block)) {
+      reader.Fail("block", "a block such as 10.1.0.0/16 without bits behind its prefix",
+                  '"' + block.block + '"');
+    } else if (!blocks.emplace(block.address, block.prefix_length).second) {
+      reader.Fail("block", "each block once", '"' + block.block + "\" a second time");
+    }
+    if (!region || !zone) {
+      continue;
+    }
+    if (table_.RegionOf(*zone) != *region) {
+      reader.Fail("zone", "a zone of " + table_.RegionName(*region),
+                  '"' + table_.ZoneName(*zone) + '"');
+    }
+    block.region = *region;
+    block.zone = *zone;
+    table_.clients.push_back(std::move(block));
+  }
+}
+
+std::optional<base::RegionIndex> TableReader::RegionField(Reader& reader, std::string_view field) {
+  const std::string name = reader.String(field);
+  const auto it = regions_.find(name);
+  if (it != regions_.end()) {
+    return it->second;
+  }
+  if (reader.Has(field)) {
+    reader.Fail(field, "a region of this table", '"' + name + '"');
+  }
+  return std::nullopt;
+}
+
+std::optional<base::ZoneIndex> TableReader::ZoneField(Reader& reader, std::string_view field) {
+  const std::string name = reader.String(field);
+  const auto it = zones_.find(name);
+  if (it != zones_.end()) {
+    return it->second;
+  }
+  if (reader.Has(field)) {
+    reader.Fail(field, "a zone of this table", '"' + name + '"');
+  }
+  return std::nullopt;
+}
+
+}  // namespace mangonotch::table::internal
--- /dev/null
+++ b/src/table/table.h
@@ -0,0 +1,171 @@
+// The operators' table: one revision of everything that steers traffic. Plain data with positions
+// instead of names for regions and zones.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/ip_address.h"
+
+namespace mangonotch::table {
+
+/// The key-value service holds values up to this size.
+inline constexpr std::size_t kMaxTableBytes = 1'000'000;
+/// An edit whose answer was lost finds itself in the history after up to this many later edits.
+inline constexpr std::size_t kHistoryLength = 64;
+/// A leaving host serves until look-ups cached for this long have run out.
+inline constexpr std::uint32_t kMaxLookupTtlMs = 30'000;
+
+/// One accepted edit.
+struct HistoryEntry {
+  std::string edit_id;
+  base::Revision revision = 0;
+  std::string author;
+  /// Milliseconds since 1970-01-01 UTC.
+  std::int64_t time_unix_ms = 0;
+  std::string summary;
+
+  bool operator==(const HistoryEntry&) const = default;
+};
+
+struct Zone {
+  std::string name;
+  base::RegionIndex region;
+
+  bool operator==(const Zone&) const = default;
+};
+
+struct Region {
+  std::string name;
+  /// One-way latency to each region, by position; 0 to itself.
+  std::vector<std::uint32_t> distance_ms;
+
+  bool operator==(const Region&) const = default;
+};
+
+/// Bandwidth of one direction between two regions.
+struct Link {
+  base::RegionIndex from;
+  base::RegionIndex to;
+  std::uint64_t bytes_per_s = 0;
+
+  bool operator==(const Link&) const = default;
+};
+
+/// A block of client addresses and where its clients are.
+struct ClientBlock {
+  /// As written: "10.1.0.0/16" or "2001:db8::/32".
+  std::string block;
+  base::IpAddress address;
+  /// Length of the prefix as written: at most 32 for IPv4, 128 for IPv6.
+  std::uint8_t prefix_length = 0;
+  base::RegionIndex region;
+  base::ZoneIndex zone;
+
+  bool operator==(const ClientBlock&) const = default;
+};
+
+/// Requests whose path starts with `prefix` at a segment's border.
+struct Route {
+  std::string prefix;
+  base::WorkClass work_class = base::WorkClass::kShort;
+  /// Methods that may be repeated besides GET, HEAD, OPTIONS, PUT and DELETE.
+  std::vector<std::string> idempotent_methods;
+
+  bool operator==(const Route&) const = default;
+};
+
+/// What a service may do in one region.
+struct ServiceRegion {
+  base::RegionIndex region;
+  /// Preferred share of the service's work, relative to the other regions; 0 takes the region
+  /// out for this service.
+  std::uint32_t weight = 0;
+  /// The most slots of the service in use in the region, at least 1.
+  std::uint32_t limit = 0;
+  /// The most that work moved in from other regions may occupy, in percent of `limit`.
+  std::uint32_t moved_in_cap_percent = 0;
+  /// Percentage points of `limit` per minute by which moved work may grow.
+  std::uint32_t moved_in_ramp_percent_per_minute = 0;
+
+  bool operator==(const ServiceRegion&) const = default;
+};
+
+struct ServiceZone {
+  base::ZoneIndex zone;
+  /// Preferred share of the region's work, relative to its other zones; 0 takes the zone out
+  /// for this service.
+  std::uint32_t weight = 0;
+  /// The most slots of the service in use in the zone, at least 1.
+  std::uint32_t limit = 0;
+
+  bool operator==(const ServiceZone&) const = default;
+};
+
+struct Target {
+  /// IP address and port. No address occurs twice in a table.
+  std::string address;
+  base::ZoneIndex zone;
+  /// Requests that the target may serve at a time, over all entry hosts.
+  std::uint32_t slots = 0;
+  /// Relative preference; 0 gives it no new work.
+  std::uint32_t weight = 0;
+  base::TargetKey key;
+
+  bool operator==(const Target&) const = default;
+};
+
+struct Service {
+  std::string name;
+  base::ServiceKey key;
+  /// Default and maximum of a request's deadline, per class.
+  std::uint32_t short_deadline_ms = 10'000;
+  std::uint32_t long_deadline_ms = 60'000;
+  /// Requests that wait for a slot, per entry host and class.
+  std::uint32_t queue_limit = 0;
+  /// Part of a region's slots that long work may use; the rest is for short work.
+  std::uint32_t long_slot_percent = 0;
+  std::vector<Route> routes;
+  std::vector<ServiceRegion> regions;
+  std::vector<ServiceZone> zones;
+  std::vector<Target> targets;
+
+  bool operator==(const Service&) const = default;
+};
+
+struct Table {
+  base::Revision revision = 0;
+  std::string author;
+  /// Milliseconds since 1970-01-01 UTC.
+  std::int64_t time_unix_ms = 0;
+  /// Random identifier of the edit that made this revision.
+  std::string edit_id;
+  /// Oldest first, at most kHistoryLength; revisions grow and edit identifiers differ.
+  std::vector<HistoryEntry> history;
+  /// How long callers may keep a look-up.
+  std::uint32_t lookup_ttl_ms = 5'000;
+  std::vector<Region> regions;
+  std::vector<Zone> zones;
+  std::vector<Link> links;
+  std::vector<ClientBlock> clients;
+  std::vector<Service> services;
+
+  /// Parses and checks; `file` names the text in faults. Throws jsonc::FaultError with all faults.
+  static Table Parse(std::string_view text, std::string_view file);
+  /// JSON that `Parse` reads back to an equal table.
+  std::string ToJson() const;
+
+  const std::string& RegionName(base::RegionIndex region) const {
+    return regions[region.value].name;
+  }
+  const std::string& ZoneName(base::ZoneIndex zone) const { return zones[zone.value].name; }
+  base::RegionIndex RegionOf(base::ZoneIndex zone) const { return zones[zone.value].region; }
+
+  bool operator==(const Table&) const = default;
+};
+
+}  // namespace mangonotch::table
