--- a/src/jsonc/internal/value.cc
+++ b/src/jsonc/internal/value.cc
@@ -2,11 +2,20 @@
 #include "jsonc/value.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "jsonc/print.h"
 
 namespace mangonotch::jsonc {
 
+Value::Value() = default;
+Value::Value(Data data, int line) : data_(std::move(data)), line_(line) {}
+Value::Value(const Value& other) = default;
+Value::Value(Value&& other) noexcept = default;
+Value& Value::operator=(const Value& other) = default;
+Value& Value::operator=(Value&& other) noexcept = default;
+Value::~Value() = default;
+
 const Value* Value::Find(std::string_view name) const {
   const auto* object = std::get_if<Object>(&data_);
   if (object == nullptr) {
--- a/src/jsonc/value.h
+++ b/src/jsonc/value.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <variant>
 #include <vector>
 
@@ -20,8 +19,14 @@
   using Object = std::vector<Member>;
   using Data = std::variant<std::nullptr_t, bool, std::int64_t, double, std::string, Array, Object>;
 
-  Value() = default;
-  explicit Value(Data data, int line = 0) : data_(std::move(data)), line_(line) {}
+  // Defined in value.cc, since Member is incomplete here.
+  Value();
+  explicit Value(Data data, int line = 0);
+  Value(const Value& other);
+  Value(Value&& other) noexcept;
+  Value& operator=(const Value& other);
+  Value& operator=(Value&& other) noexcept;
+  ~Value();
 
   const Data& data() const { return data_; }
   Data& data() { return data_; }
@@ -34,7 +39,7 @@
   std::string Describe() const;
 
  private:
-  Data data_ = nullptr;
+  Data data_;
   int line_ = 0;
 };
 
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -3,21 +3,19 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "base/duration.h"
 #include "base/ids.h"
+#include "logging/level.h"
 
 namespace mangonotch::settings {
 
 /// Heartbeat intervals grow by 25 ms per member of a region; with 60 hosts they stay at 1.5 s.
 inline constexpr std::size_t kMaxHostsPerRegion = 60;
 
-enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
-
 /// Addresses that this process binds, as ip:port.
 struct ListenAddresses {
   std::string callers;
@@ -71,7 +69,7 @@
   /// HTTP path of the host list, with a leading slash.
   std::string host_list_path;
   HostLimits limits;
-  LogLevel log_level = LogLevel::kInfo;
+  logging::Level log_level = logging::Level::kInfo;
 
   /// Parses and checks; `file` names the text in faults. Throws jsonc::FaultError with all faults.
   static HostSettings Parse(std::string_view text, std::string_view file);
--- a/src/settings/internal/host_settings.cc
+++ b/src/settings/internal/host_settings.cc
@@ -93,17 +93,17 @@
   return limits;
 }
 
-LogLevel ReadLogLevel(Reader& reader) {
-  static const std::map<std::string, LogLevel, std::less<>> kLevels = {
-      {"debug", LogLevel::kDebug},
-      {"info", LogLevel::kInfo},
-      {"warning", LogLevel::kWarning},
-      {"error", LogLevel::kError}};
+logging::Level ReadLogLevel(Reader& reader) {
+  static const std::map<std::string, logging::Level, std::less<>> kLevels = {
+      {"debug", logging::Level::kDebug},
+      {"info", logging::Level::kInfo},
+      {"warning", logging::Level::kWarning},
+      {"error", logging::Level::kError}};
   const std::string text = reader.StringOr("log_level", "info");
   const auto it = kLevels.find(text);
   if (it == kLevels.end()) {
     reader.Fail("log_level", "debug, info, warning or error", '"' + text + '"');
-    return LogLevel::kInfo;
+    return logging::Level::kInfo;
   }
   return it->second;
 }
--- a/src/table/internal/diff.cc
+++ b/src/table/internal/diff.cc
@@ -13,18 +13,21 @@
 
 using internal::Field;
 using internal::Record;
-using RecordMap = std::map<std::pair<Subject, std::string_view>, const Record*>;
+using RecordKey = std::pair<Subject, std::string_view>;
+using RecordMap = std::map<RecordKey, const Record*>;
+
+RecordKey KeyOf(const Record& record) { return {record.subject, record.name}; }
 
 RecordMap ByName(const std::vector<Record>& records) {
   RecordMap map;
   for (const Record& record : records) {
-    map.emplace(std::pair(record.subject, std::string_view(record.name)), &record);
+    map.emplace(KeyOf(record), &record);
   }
   return map;
 }
 
 const Record* Find(const RecordMap& map, const Record& record) {
-  const auto it = map.find(std::pair(record.subject, std::string_view(record.name)));
+  const auto it = map.find(KeyOf(record));
   return it == map.end() ? nullptr : it->second;
 }
 
--- a/src/table/internal/table.cc
+++ b/src/table/internal/table.cc
@@ -18,10 +18,10 @@
 Value Text(std::string_view text) { return Value(std::string(text)); }
 Value Number(std::uint64_t n) { return Value(static_cast<std::int64_t>(n)); }
 
-Value Object(std::vector<std::pair<std::string_view, Value>> fields) {
+Value Object(const std::vector<std::pair<std::string_view, Value>>& fields) {
   Value::Object object;
-  for (auto& [name, value] : fields) {
-    object.push_back({std::string(name), 0, std::move(value)});
+  for (const auto& [name, value] : fields) {
+    object.push_back({std::string(name), 0, value});
   }
   return Value(std::move(object));
 }
