--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -1,7 +1,6 @@
 // An IP address with a port: "127.0.0.1:7000" or "[::1]:7000".
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -14,7 +13,7 @@
   IpAddress address;
   std::uint16_t port = 0;
 
-  auto operator<=>(const Endpoint&) const = default;
+  constexpr bool operator==(const Endpoint&) const = default;
 };
 
 /// Nothing when `text` is no endpoint or the port is 0.
--- a/src/base/ip_address.h
+++ b/src/base/ip_address.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -14,7 +13,10 @@
   std::array<std::uint8_t, 16> bytes{};
   bool is_v4 = false;
 
-  auto operator<=>(const IpAddress&) const = default;
+  constexpr bool operator==(const IpAddress&) const = default;
+  constexpr bool operator<(const IpAddress& other) const {
+    return is_v4 != other.is_v4 ? is_v4 : bytes < other.bytes;
+  }
 };
 
 namespace internal {
--- a/src/publication/internal/edit_outcome.cc
+++ b/src/publication/internal/edit_outcome.cc
@@ -64,7 +64,7 @@
              "--edit " +
              edit_id + " once the store answers: it is then applied at most once.\n" + cause;
   }
-  return edit;
+  return "";
 }
 
 }  // namespace mangonotch::publication
--- a/src/publication/tests/edit_plan_test.cc
+++ b/src/publication/tests/edit_plan_test.cc
@@ -185,6 +185,7 @@
 TEST_CASE("Whatever goes wrong, an edit applies at most once and its outcome is true") {
   rc::check([](const std::vector<std::uint8_t>& raw, bool other_between) {
     std::vector<Mishap> script;
+    script.reserve(raw.size());
     for (const std::uint8_t n : raw) {
       script.push_back(static_cast<Mishap>(n % 6));
     }
--- a/src/publication/tests/table_state_test.cc
+++ b/src/publication/tests/table_state_test.cc
@@ -12,12 +12,12 @@
 
 base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
 
-const std::vector<base::HostId> kPeers = {"a", "b"};
+const std::vector<base::HostId> peers = {"a", "b"};
 
 }  // namespace
 
 TEST_CASE("A revision in force is never replaced by an older one, whoever offers it") {
-  TableState state(kPeers);
+  TableState state(peers);
   REQUIRE(state.Offer(Source::kPeer, Shared(5), At(0)) == OfferResult::kAccepted);
   for (const Source source : {Source::kStore, Source::kPeer, Source::kStart}) {
     REQUIRE(state.Offer(source, Shared(4), At(1)) == OfferResult::kOlder);
@@ -30,7 +30,7 @@
 }
 
 TEST_CASE("Other content under the revision in force is refused and counted") {
-  TableState state(kPeers);
+  TableState state(peers);
   state.Offer(Source::kPeer, Shared(5, 100), At(0));
   REQUIRE(state.Offer(Source::kStore, Shared(5, 99), At(0)) == OfferResult::kDifferentContent);
   REQUIRE(state.Count(Source::kStore, OfferResult::kDifferentContent) == 1);
@@ -39,7 +39,7 @@
 
 TEST_CASE("No sequence of offers lowers the revision") {
   rc::check([](const std::vector<std::uint8_t>& revisions) {
-    TableState state(kPeers);
+    TableState state(peers);
     base::Revision highest = 0;
     for (const std::uint8_t n : revisions) {
       const base::Revision offered = n % 4 + 1U;
@@ -51,7 +51,7 @@
 }
 
 TEST_CASE("A host without a table does not steer") {
-  TableState state(kPeers);
+  TableState state(peers);
   state.NoteEmptyStore();
   state.NotePeerRevision("a", 0);
   state.NotePeerRevision("b", 0);
@@ -59,7 +59,7 @@
 }
 
 TEST_CASE("With only the store answering, a host waits for its peers since the read may be stale") {
-  TableState state(kPeers);
+  TableState state(peers);
   REQUIRE(state.NextCheck() == base::Instant::Never());
   state.Offer(Source::kStore, Shared(5), At(5'000));
   REQUIRE_FALSE(state.MaySteer(At(5'999)));
@@ -68,7 +68,7 @@
 }
 
 TEST_CASE("A stale read of the store does not start a host while a live peer has a newer table") {
-  TableState state(kPeers);
+  TableState state(peers);
   state.Offer(Source::kStore, Shared(5), At(0));
   state.NotePeerRevision("a", 6);
   REQUIRE_FALSE(state.MaySteer(At(100'000)));
@@ -85,7 +85,7 @@
 }
 
 TEST_CASE("A host starts at once when the store and all peers have answered") {
-  TableState state(kPeers);
+  TableState state(peers);
   state.Offer(Source::kStore, Shared(5), At(0));
   state.NotePeerRevision("a", 5);
   REQUIRE_FALSE(state.MaySteer(At(1)));
@@ -94,7 +94,7 @@
 }
 
 TEST_CASE("A host that steers goes on while it is behind, and pulls in turn from those ahead") {
-  TableState state(kPeers);
+  TableState state(peers);
   state.Offer(Source::kStore, Shared(5), At(0));
   REQUIRE(state.MaySteer(At(1'000)));
   state.NotePeerRevision("a", 7);
--- a/src/settings/host_settings.h
+++ b/src/settings/host_settings.h
@@ -43,8 +43,8 @@
 /// Bounds on what callers can make the process hold.
 struct HostLimits {
   std::size_t connections = 2'000;
-  std::size_t header_bytes = 16 * 1024;
-  std::size_t body_bytes = 1024 * 1024;
+  std::size_t header_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{1024} * 1024;
   base::Duration header_time = base::Duration::Seconds(5);
   base::Duration body_time = base::Duration::Seconds(30);
   base::Duration idle_time = base::Duration::Seconds(60);
@@ -52,7 +52,7 @@
   /// Entries of the ticket register; a full register refuses new tickets.
   std::size_t tickets = 100'000;
   /// Bytes of kept answers in the ticket register.
-  std::size_t ticket_bytes = 32 * 1024 * 1024;
+  std::size_t ticket_bytes = std::size_t{32} * 1024 * 1024;
 
   bool operator==(const HostLimits&) const = default;
 };
--- a/src/settings/internal/host_settings.cc
+++ b/src/settings/internal/host_settings.cc
@@ -20,7 +20,7 @@
 using jsonc::IntegerRange;
 using jsonc::Reader;
 
-constexpr std::int64_t kMebibyte = 1024 * 1024;
+constexpr std::int64_t kMebibyte = std::int64_t{1024} * 1024;
 constexpr std::int64_t kHourMs = 3'600'000;
 
 std::string ReadName(Reader& reader, std::string_view field) {
@@ -94,14 +94,14 @@
 }
 
 logging::Level ReadLogLevel(Reader& reader) {
-  static const std::map<std::string, logging::Level, std::less<>> kLevels = {
+  static const std::map<std::string, logging::Level, std::less<>> levels = {
       {"debug", logging::Level::kDebug},
       {"info", logging::Level::kInfo},
       {"warning", logging::Level::kWarning},
       {"error", logging::Level::kError}};
   const std::string text = reader.StringOr("log_level", "info");
-  const auto it = kLevels.find(text);
-  if (it == kLevels.end()) {
+  const auto it = levels.find(text);
+  if (it == levels.end()) {
     reader.Fail("log_level", "debug, info, warning or error", '"' + text + '"');
     return logging::Level::kInfo;
   }
--- a/src/settings/tests/host_settings_test.cc
+++ b/src/settings/tests/host_settings_test.cc
@@ -59,7 +59,7 @@
   REQUIRE(settings.seeds.size() == 1);
   REQUIRE(settings.seeds[0].region == "q");
   REQUIRE(settings.limits.body_time == base::Duration::Milliseconds(7));
-  REQUIRE(settings.limits.body_bytes == 1024 * 1024);
+  REQUIRE(settings.limits.body_bytes == 1'048'576);
   REQUIRE(settings.log_level == logging::Level::kWarning);
   REQUIRE(settings.host_list_path == "/hosts");
 }
--- a/src/table/internal/table.cc
+++ b/src/table/internal/table.cc
@@ -12,7 +12,6 @@
 namespace mangonotch::table {
 namespace {
 
-using jsonc::Member;
 using jsonc::Value;
 
 Value Text(std::string_view text) { return Value(std::string(text)); }
--- a/src/table/internal/table_reader.cc
+++ b/src/table/internal/table_reader.cc
@@ -186,7 +186,9 @@
   for (const auto& [from_name, from] : regions_) {
     for (const auto& [to_name, to] : regions_) {
       if (from != to && pairs.count({from, to}) == 0) {
-        root_.Fail("links", "a link from " + from_name + " to " + to_name, "none");
+        std::string expected = "a link from ";
+        expected.append(from_name).append(" to ").append(to_name);
+        root_.Fail("links", expected, "none");
       }
     }
   }
