--- /dev/null
+++ b/src/admission/internal/slot_table.cc
@@ -0,0 +1,299 @@
+// Lists of available targets are kept up to date at every change, so that a decision does not scan
+// the targets.
+#include "admission/slot_table.h"
+
+#include <algorithm>
+
+namespace mangonotch::admission {
+namespace {
+
+constexpr std::size_t ClassIndex(base::WorkClass work_class) {
+  return static_cast<std::size_t>(work_class);
+}
+
+constexpr std::array kClasses = {base::WorkClass::kShort, base::WorkClass::kLong};
+
+bool IsInUse(const TargetState& state) {
+  return state.classes[0].in_use > 0 || state.classes[1].in_use > 0;
+}
+
+}  // namespace
+
+void SlotTable::StartListing() {
+  for (TargetState& state : targets_) state.is_listed = false;
+}
+
+SlotTable::Listing SlotTable::List(const Target& target, base::Instant now) {
+  const auto known = positions_.find(target.key);
+  const bool is_new = known == positions_.end();
+  if (!is_new) {
+    for (const auto work_class : kClasses) RemoveAvailable(known->second, work_class);
+  }
+  TargetPosition position = is_new ? 0 : known->second;
+  if (is_new && free_positions_.empty()) {
+    position = static_cast<TargetPosition>(targets_.size());
+    targets_.emplace_back();
+    loads_.emplace_back();
+  } else if (is_new) {
+    position = free_positions_.back();
+    free_positions_.pop_back();
+  }
+  TargetState& state = targets_[position];
+  if (is_new) {
+    const auto lapses = std::array{state.classes[0].lapses, state.classes[1].lapses};
+    state = TargetState{};
+    state.ramp_limits.fill(kNoRampLimit);
+    for (const auto work_class : kClasses) {
+      ClassState& of_class = state.classes[ClassIndex(work_class)];
+      of_class.place = kNotAvailable;
+      of_class.lapses = lapses[ClassIndex(work_class)] + 1;
+    }
+    positions_.emplace(target.key, position);
+  }
+  state.target = target;
+  state.is_listed = true;
+  loads_[position].weight = static_cast<float>(std::max(target.weight, 1U));
+  for (auto& regions : available_) {
+    if (regions.size() <= target.region.value) regions.resize(target.region.value + 1);
+  }
+  for (const auto work_class : kClasses) Refresh(position, work_class, now);
+  return {position, is_new};
+}
+
+void SlotTable::FinishListing(base::Instant now) {
+  for (auto it = positions_.begin(); it != positions_.end();) {
+    TargetState& state = targets_[it->second];
+    for (const auto work_class : kClasses) Refresh(it->second, work_class, now);
+    if (state.is_listed || IsInUse(state)) {
+      ++it;
+      continue;
+    }
+    free_positions_.push_back(it->second);
+    it = positions_.erase(it);
+  }
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+    for (auto& region : available_[i]) region.reserve(targets_.size());
+  }
+  ReserveSlots();
+  CountOpenTargets();
+}
+
+void SlotTable::CountOpenTargets() {
+  open_targets_.assign(regions(), 0);
+  for (const TargetState& state : targets_) {
+    if (state.is_listed && !state.is_leaving) ++open_targets_[state.target.region.value];
+  }
+}
+
+void SlotTable::SetGrants(std::span<const Grant> grants, base::Instant now) {
+  for (const Grant& grant : grants) {
+    const auto position = Find(grant.target);
+    if (!position) continue;
+    ClassState& state = targets_[*position].classes[ClassIndex(grant.work_class)];
+    const bool has_lapsed = state.grant_deadline <= now;
+    if (has_lapsed) ++state.lapses;
+    state.granted = grant.slots;
+    state.grant_deadline = grant.deadline;
+    Refresh(*position, grant.work_class, now);
+  }
+  ReserveSlots();
+}
+
+void SlotTable::ReserveSlots() {
+  std::size_t n = 0;
+  for (const TargetState& state : targets_) {
+    for (const ClassState& of_class : state.classes) {
+      n += std::max(of_class.granted, of_class.in_use);
+    }
+  }
+  slots_.reserve(n);
+  free_slots_.reserve(std::max(n, slots_.capacity()));
+}
+
+bool SlotTable::SetLeaving(base::TargetKey target, bool is_leaving, base::Instant now) {
+  const auto position = Find(target);
+  if (!position) return false;
+  targets_[*position].is_leaving = is_leaving;
+  for (const auto work_class : kClasses) Refresh(*position, work_class, now);
+  CountOpenTargets();
+  return true;
+}
+
+void SlotTable::SetHealth(TargetPosition position, bool is_ejected,
+                          std::array<std::uint16_t, base::kWorkClasses> ramp_limits,
+                          float weight_factor, base::Instant now) {
+  TargetState& state = targets_[position];
+  state.is_ejected = is_ejected;
+  state.ramp_limits = ramp_limits;
+  loads_[position].weight = static_cast<float>(std::max(state.target.weight, 1U)) * weight_factor;
+  for (const auto work_class : kClasses) Refresh(position, work_class, now);
+}
+
+std::span<const TargetPosition> SlotTable::Candidates(base::WorkClass work_class,
+                                                      base::RegionIndex region,
+                                                      std::span<const base::TargetKey> excluded) {
+  auto& regions = available_[ClassIndex(work_class)];
+  if (region.value >= regions.size()) return {};
+  std::span<TargetPosition> list = regions[region.value];
+  // Excluded targets are moved behind the candidates.
+  for (const base::TargetKey key : excluded) {
+    const auto position = Find(key);
+    if (!position) continue;
+    ClassState& state = targets_[*position].classes[ClassIndex(work_class)];
+    const bool is_candidate = targets_[*position].target.region == region &&
+                              state.place != kNotAvailable && state.place < list.size();
+    if (!is_candidate) continue;
+    ClassState& last = targets_[list.back()].classes[ClassIndex(work_class)];
+    std::swap(list[state.place], list.back());
+    std::swap(state.place, last.place);
+    list = list.first(list.size() - 1);
+  }
+  return list;
+}
+
+bool SlotTable::IsGrantInForce(TargetPosition position, base::WorkClass work_class,
+                               base::Instant now) const {
+  return now < targets_[position].classes[ClassIndex(work_class)].grant_deadline;
+}
+
+bool SlotTable::IsAvailable(const TargetState& state, base::WorkClass work_class,
+                            base::Instant now) const {
+  const ClassState& of_class = state.classes[ClassIndex(work_class)];
+  const auto limit = std::min(of_class.granted, state.ramp_limits[ClassIndex(work_class)]);
+  return state.is_listed && !state.is_leaving && !state.is_ejected && of_class.in_use < limit &&
+         now < of_class.grant_deadline;
+}
+
+void SlotTable::Refresh(TargetPosition position, base::WorkClass work_class, base::Instant now) {
+  if (IsAvailable(targets_[position], work_class, now)) {
+    AddAvailable(position, work_class);
+  } else {
+    RemoveAvailable(position, work_class);
+  }
+}
+
+void SlotTable::AddAvailable(TargetPosition position, base::WorkClass work_class) {
+  TargetState& state = targets_[position];
+  ClassState& of_class = state.classes[ClassIndex(work_class)];
+  if (of_class.place != kNotAvailable) return;
+  auto& list = available_[ClassIndex(work_class)][state.target.region.value];
+  of_class.place = static_cast<std::uint32_t>(list.size());
+  list.push_back(position);
+  ++available_count_[ClassIndex(work_class)];
+}
+
+void SlotTable::RemoveAvailable(TargetPosition position, base::WorkClass work_class) {
+  TargetState& state = targets_[position];
+  ClassState& of_class = state.classes[ClassIndex(work_class)];
+  if (of_class.place == kNotAvailable) return;
+  auto& list = available_[ClassIndex(work_class)][state.target.region.value];
+  const TargetPosition moved = list.back();
+  list[of_class.place] = moved;
+  targets_[moved].classes[ClassIndex(work_class)].place = of_class.place;
+  list.pop_back();
+  --available_count_[ClassIndex(work_class)];
+  of_class.place = kNotAvailable;
+}
+
+Slot SlotTable::Take(TargetPosition position, base::WorkClass work_class, base::Instant deadline,
+                     base::Instant now) {
+  ClassState& state = targets_[position].classes[ClassIndex(work_class)];
+  ++state.in_use;
+  ++loads_[position].in_flight;
+  if (free_slots_.empty()) {
+    free_slots_.push_back(static_cast<std::uint32_t>(slots_.size()));
+    slots_.emplace_back();
+  }
+  const std::uint32_t index = free_slots_.back();
+  free_slots_.pop_back();
+  SlotRecord& record = slots_[index];
+  record = {.target = position,
+            .work_class = work_class,
+            .is_live = true,
+            .generation = record.generation + 1,
+            .lapses = state.lapses,
+            .started = now,
+            .deadline = deadline};
+  Refresh(position, work_class, now);
+  return {.index = index, .generation = record.generation};
+}
+
+std::optional<SlotRecord> SlotTable::Release(Slot slot, base::Instant now) {
+  if (slot.index >= slots_.size()) return std::nullopt;
+  SlotRecord& record = slots_[slot.index];
+  if (!record.is_live || record.generation != slot.generation) return std::nullopt;
+  record.is_live = false;
+  free_slots_.push_back(slot.index);
+  --targets_[record.target].classes[ClassIndex(record.work_class)].in_use;
+  --loads_[record.target].in_flight;
+  Refresh(record.target, record.work_class, now);
+  return record;
+}
+
+RecheckResult SlotTable::Recheck(Slot slot, base::Instant now) const {
+  if (slot.index >= slots_.size()) return RecheckResult::kUnknownSlot;
+  const SlotRecord& record = slots_[slot.index];
+  if (!record.is_live || record.generation != slot.generation) return RecheckResult::kUnknownSlot;
+  const TargetState& target = targets_[record.target];
+  const ClassState& state = target.classes[ClassIndex(record.work_class)];
+  if (now >= record.deadline) return RecheckResult::kDeadlinePassed;
+  if (now >= state.grant_deadline || record.lapses != state.lapses) {
+    return RecheckResult::kGrantExpired;
+  }
+  if (target.is_leaving || !target.is_listed) return RecheckResult::kLeaving;
+  return RecheckResult::kInForce;
+}
+
+ExclusionReason SlotTable::Explain(TargetPosition position, base::WorkClass work_class,
+                                   base::Instant now) const {
+  const TargetState& state = targets_[position];
+  const ClassState& of_class = state.classes[ClassIndex(work_class)];
+  if (state.is_leaving || !state.is_listed) return ExclusionReason::kLeaving;
+  if (of_class.granted == 0) return ExclusionReason::kNoGrant;
+  if (of_class.grant_deadline <= now) return ExclusionReason::kGrantExpired;
+  if (state.is_ejected) return ExclusionReason::kEjected;
+  if (of_class.in_use >= of_class.granted) return ExclusionReason::kAllSlotsInUse;
+  if (of_class.in_use >= state.ramp_limits[ClassIndex(work_class)]) {
+    return ExclusionReason::kWarmingUp;
+  }
+  return ExclusionReason::kNone;
+}
+
+bool SlotTable::HasOpenTarget(base::RegionIndex region,
+                              std::span<const base::TargetKey> excluded) const {
+  if (region.value >= open_targets_.size()) return false;
+  std::uint32_t n = open_targets_[region.value];
+  for (std::size_t i = 0; i < excluded.size(); ++i) {
+    const auto earlier = excluded.first(i);
+    if (std::find(earlier.begin(), earlier.end(), excluded[i]) != earlier.end()) continue;
+    const auto position = Find(excluded[i]);
+    if (!position) continue;
+    const TargetState& state = targets_[*position];
+    const bool is_counted = state.is_listed && !state.is_leaving && state.target.region == region;
+    if (is_counted) --n;
+  }
+  return n > 0;
+}
+
+bool SlotTable::HasAvailable(base::WorkClass work_class) const {
+  return available_count_[ClassIndex(work_class)] > 0;
+}
+
+std::uint32_t SlotTable::CountUsableSlots(base::WorkClass work_class, base::Instant now) const {
+  std::uint32_t n = 0;
+  for (const TargetState& state : targets_) {
+    const ClassState& of_class = state.classes[ClassIndex(work_class)];
+    const bool is_usable =
+        state.is_listed && !state.is_leaving && !state.is_ejected && now < of_class.grant_deadline;
+    if (is_usable) n += std::min(of_class.granted, state.ramp_limits[ClassIndex(work_class)]);
+  }
+  return n;
+}
+
+std::optional<TargetPosition> SlotTable::Find(base::TargetKey target) const {
+  const auto it = positions_.find(target);
+  if (it == positions_.end()) return std::nullopt;
+  return it->second;
+}
+
+}  // namespace mangonotch::admission
--- /dev/null
+++ b/src/admission/wait_queue.h
@@ -0,0 +1,48 @@
+// Requests of one work class that wait for a slot, in the order of their arrival. Bounded; all
+// memory is taken at construction.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "admission/types.h"
+
+namespace mangonotch::admission {
+
+struct Waiter {
+  WaiterId id = 0;
+  base::Instant deadline;
+  std::array<RegionPreference, kMaxPreferredRegions> regions;
+  std::array<base::TargetKey, kMaxExcludedTargets> excluded;
+  std::uint8_t region_count = 0;
+  std::uint8_t excluded_count = 0;
+
+  /// The waiter's request; the spans point into the waiter.
+  Request MakeRequest(base::WorkClass work_class) const;
+};
+
+class WaitQueue {
+ public:
+  explicit WaitQueue(std::size_t capacity);
+
+  bool IsFull() const { return order_.size() == waiters_.size(); }
+  std::size_t size() const { return order_.size(); }
+
+  /// The queue must not be full.
+  void Push(WaiterId id, const Request& request);
+  /// Position counts from the longest waiting.
+  const Waiter& At(std::size_t position) const { return waiters_[order_[position]]; }
+  void Erase(std::size_t position);
+  std::optional<std::size_t> Find(WaiterId id) const;
+
+ private:
+  std::vector<Waiter> waiters_;
+  /// Indexes into `waiters_`, in the order of arrival.
+  std::vector<std::uint16_t> order_;
+  std::vector<std::uint16_t> free_;
+};
+
+}  // namespace mangonotch::admission
--- /dev/null
+++ b/src/placement/policy.h
@@ -0,0 +1,40 @@
+// The concept of a placement policy: chooses one of the targets that have a free slot.
+#pragma once
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+#include "base/instant.h"
+#include "base/random.h"
+
+namespace mangonotch::placement {
+
+/// What a policy may know of a target besides its own observations.
+struct TargetLoad {
+  std::uint32_t in_flight = 0;
+  /// Capacity relative to other targets, already reduced while the target warms up.
+  float weight = 1.0F;
+};
+
+/// Targets are numbered from 0; `loads` is indexed by target.
+struct Pool {
+  std::span<const std::uint32_t> candidates;
+  std::span<const TargetLoad> loads;
+};
+
+/// One policy object serves one work class of one service, so latencies of the classes never mix.
+/// `Choose` gets at least one candidate, returns a position in `candidates` and allocates nothing.
+template <typename P>
+concept PlacementPolicy = std::constructible_from<P, const typename P::Settings&> &&
+    requires(P policy, const Pool& pool, std::uint32_t target, base::Duration latency,
+             base::Instant now, base::Random& random, std::uint16_t load_per_mille) {
+  policy.Resize(std::size_t{});
+  policy.Reset(target);
+  { policy.Choose(pool, now, random) } -> std::same_as<std::size_t>;
+  policy.OnComplete(target, latency, now);
+  policy.OnLoadReport(target, load_per_mille, now);
+};
+
+}  // namespace mangonotch::placement
