--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "admission/class_load.h"
+#include "admission/pool_health.h"
 #include "admission/slot_table.h"
 #include "admission/types.h"
 #include "admission/wait_queue.h"
@@ -24,11 +25,13 @@
     std::array<std::size_t, base::kWorkClasses> queue_places = {256, 64};
     ClassLoadSettings load;
     typename Policy::Settings policy;
+    placement::HealthSettings health;
     std::uint64_t seed = 1;
   };
 
   explicit Gate(const Settings& settings)
       : random_(settings.seed),
+        health_(settings.health),
         lanes_{Lane(settings, settings.queue_places[0]), Lane(settings, settings.queue_places[1])} {
     ready_.reserve(settings.queue_places[0] + settings.queue_places[1]);
   }
@@ -40,7 +43,10 @@
     slots_.SetTargets(targets, now, [&](TargetPosition position) {
       for (Lane& lane : lanes_) lane.policy.Resize(slots_.targets().size());
       for (Lane& lane : lanes_) lane.policy.Reset(position);
+      // The targets of the first list are new to this host only, later ones are cold.
+      health_.OnListed(position, has_targets_, now);
     });
+    has_targets_ = has_targets_ || !targets.empty();
     Tick(now);
   }
   /// Sets the listed grants; grants that are not listed stay until their deadline.
@@ -61,8 +67,10 @@
     if (!position) return;
     for (Lane& lane : lanes_) lane.policy.OnLoadReport(*position, load_per_mille, now);
   }
-  /// Re-computes estimates that change with time; call it about ten times a second.
+  /// Looks for overdue requests, ejects and returns targets, and renews the estimates. Call it
+  /// about ten times a second.
   void Tick(base::Instant now) {
+    health_.Evaluate(slots_, {lanes_[0].queue.size(), lanes_[1].queue.size()}, now);
     for (const auto work_class : {base::WorkClass::kShort, base::WorkClass::kLong}) {
       LaneOf(work_class).load.SetUsableSlots(slots_.CountUsableSlots(work_class, now));
     }
@@ -95,6 +103,7 @@
     if (outcome.result == Result::kAnswered) {
       lane.policy.OnComplete(record->target, outcome.latency, now);
     }
+    if (health_.OnEnded(*record, outcome, now)) Tick(now);
     return true;
   }
 
@@ -138,7 +147,8 @@
                           .region = state.target.region,
                           .work_class = static_cast<base::WorkClass>(i),
                           .held = held,
-                          .in_use = of_class.in_use});
+                          .in_use = of_class.in_use,
+                          .is_ejected = state.verdict.is_ejected});
       }
     }
     return usage_;
@@ -147,6 +157,7 @@
   Demand DemandFor(base::WorkClass work_class, base::RegionIndex region, base::Instant now) const {
     const Lane& lane = lanes_[static_cast<std::size_t>(work_class)];
     Demand demand = lane.load.DemandFor(region, now);
+    demand.usable = slots_.CountUsableSlots(work_class, region, now);
     for (std::size_t i = 0; i < lane.queue.size(); ++i) {
       const Waiter& waiter = lane.queue.At(i);
       const auto regions = std::span(waiter.regions).first(waiter.region_count);
@@ -274,6 +285,8 @@
 
   base::Random random_;
   SlotTable slots_;
+  PoolHealth health_;
+  bool has_targets_ = false;
   std::array<Lane, base::kWorkClasses> lanes_;
   WaiterId last_waiter_ = 0;
   std::vector<Ready> ready_;
--- a/src/admission/internal/slot_table.cc
+++ b/src/admission/internal/slot_table.cc
@@ -3,6 +3,7 @@
 #include "admission/slot_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mangonotch::admission {
 namespace {
@@ -11,6 +12,9 @@
   return static_cast<std::size_t>(work_class);
 }
 
+/// Keeps the weight of a target above zero.
+constexpr float kMinShare = 0.01F;
+
 constexpr std::array kClasses = {base::WorkClass::kShort, base::WorkClass::kLong};
 
 bool IsInUse(const TargetState& state) {
@@ -119,14 +123,19 @@
   return true;
 }
 
-void SlotTable::SetHealth(TargetPosition position, bool is_ejected,
-                          std::array<std::uint16_t, base::kWorkClasses> ramp_limits,
-                          float weight_factor, base::Instant now) {
+void SlotTable::SetVerdict(TargetPosition position, const placement::Verdict& verdict,
+                           base::Instant now) {
   TargetState& state = targets_[position];
-  state.is_ejected = is_ejected;
-  state.ramp_limits = ramp_limits;
-  loads_[position].weight = static_cast<float>(std::max(state.target.weight, 1U)) * weight_factor;
-  for (const auto work_class : kClasses) Refresh(position, work_class, now);
+  state.verdict = verdict;
+  const auto weight = static_cast<float>(std::max(state.target.weight, 1U));
+  loads_[position].weight = weight * std::max(verdict.share, kMinShare);
+  for (const auto work_class : kClasses) {
+    const std::size_t i = ClassIndex(work_class);
+    const float share = std::ceil(verdict.share * state.classes[i].granted);
+    state.ramp_limits[i] =
+        verdict.limits_slots ? static_cast<std::uint16_t>(std::max(share, 1.0F)) : kNoRampLimit;
+    Refresh(position, work_class, now);
+  }
 }
 
 std::span<const TargetPosition> SlotTable::Candidates(base::WorkClass work_class,
@@ -160,8 +169,8 @@
                             base::Instant now) const {
   const ClassState& of_class = state.classes[ClassIndex(work_class)];
   const auto limit = std::min(of_class.granted, state.ramp_limits[ClassIndex(work_class)]);
-  return state.is_listed && !state.is_leaving && !state.is_ejected && of_class.in_use < limit &&
-         now < of_class.grant_deadline;
+  return state.is_listed && !state.is_leaving && !state.verdict.is_ejected &&
+         of_class.in_use < limit && now < of_class.grant_deadline;
 }
 
 void SlotTable::Refresh(TargetPosition position, base::WorkClass work_class, base::Instant now) {
@@ -251,7 +260,7 @@
   if (state.is_leaving || !state.is_listed) return ExclusionReason::kLeaving;
   if (of_class.granted == 0) return ExclusionReason::kNoGrant;
   if (of_class.grant_deadline <= now) return ExclusionReason::kGrantExpired;
-  if (state.is_ejected) return ExclusionReason::kEjected;
+  if (state.verdict.is_ejected) return ExclusionReason::kEjected;
   if (of_class.in_use >= of_class.granted) return ExclusionReason::kAllSlotsInUse;
   if (of_class.in_use >= state.ramp_limits[ClassIndex(work_class)]) {
     return ExclusionReason::kWarmingUp;
@@ -279,13 +288,26 @@
   return available_count_[ClassIndex(work_class)] > 0;
 }
 
+std::uint16_t SlotTable::UsableSlots(const TargetState& state, base::WorkClass work_class,
+                                     base::Instant now) const {
+  const ClassState& of_class = state.classes[ClassIndex(work_class)];
+  const bool is_usable = state.is_listed && !state.is_leaving && !state.verdict.is_ejected &&
+                         now < of_class.grant_deadline;
+  if (!is_usable) return 0;
+  return std::min(of_class.granted, state.ramp_limits[ClassIndex(work_class)]);
+}
+
 std::uint32_t SlotTable::CountUsableSlots(base::WorkClass work_class, base::Instant now) const {
   std::uint32_t n = 0;
+  for (const TargetState& state : targets_) n += UsableSlots(state, work_class, now);
+  return n;
+}
+
+std::uint16_t SlotTable::CountUsableSlots(base::WorkClass work_class, base::RegionIndex region,
+                                          base::Instant now) const {
+  std::uint16_t n = 0;
   for (const TargetState& state : targets_) {
-    const ClassState& of_class = state.classes[ClassIndex(work_class)];
-    const bool is_usable =
-        state.is_listed && !state.is_leaving && !state.is_ejected && now < of_class.grant_deadline;
-    if (is_usable) n += std::min(of_class.granted, state.ramp_limits[ClassIndex(work_class)]);
+    if (state.target.region == region) n += UsableSlots(state, work_class, now);
   }
   return n;
 }
--- a/src/admission/slot_table.h
+++ b/src/admission/slot_table.h
@@ -11,6 +11,7 @@
 
 #include "admission/types.h"
 #include "placement/policy.h"
+#include "placement/target_health.h"
 
 namespace mangonotch::admission {
 
@@ -27,6 +28,8 @@
   std::uint32_t lapses = 0;
   base::Instant started;
   base::Instant deadline;
+  /// Its slowness was counted before its end.
+  bool is_overdue = false;
 };
 
 struct ClassState {
@@ -44,7 +47,7 @@
   Target target;
   bool is_listed = false;
   bool is_leaving = false;
-  bool is_ejected = false;
+  placement::Verdict verdict;
   /// Most slots of each class that the ramp allows in use; no limit when warmed up.
   std::array<std::uint16_t, base::kWorkClasses> ramp_limits{};
   std::array<ClassState, base::kWorkClasses> classes;
@@ -72,9 +75,8 @@
   void SetGrants(std::span<const Grant> grants, base::Instant now);
   /// False for an unknown target.
   bool SetLeaving(base::TargetKey target, bool is_leaving, base::Instant now);
-  void SetHealth(TargetPosition position, bool is_ejected,
-                 std::array<std::uint16_t, base::kWorkClasses> ramp_limits, float weight_factor,
-                 base::Instant now);
+  void SetVerdict(TargetPosition position, const placement::Verdict& verdict, base::Instant now);
+  void MarkOverdue(std::uint32_t slot_index) { slots_[slot_index].is_overdue = true; }
 
   /// Available targets of a region, without those excluded. Valid until the next call. A listed
   /// target may have an expired grant: check `IsGrantInForce` and call `Refresh` when it has.
@@ -104,6 +106,8 @@
   bool HasAvailable(base::WorkClass work_class) const;
   /// Slots in force on targets that may get work, for estimates.
   std::uint32_t CountUsableSlots(base::WorkClass work_class, base::Instant now) const;
+  std::uint16_t CountUsableSlots(base::WorkClass work_class, base::RegionIndex region,
+                                 base::Instant now) const;
   std::size_t regions() const { return available_[0].size(); }
 
  private:
@@ -118,6 +122,8 @@
   void StartListing();
   Listing List(const Target& target, base::Instant now);
   void FinishListing(base::Instant now);
+  std::uint16_t UsableSlots(const TargetState& state, base::WorkClass work_class,
+                            base::Instant now) const;
   void ReserveSlots();
   void CountOpenTargets();
   bool IsAvailable(const TargetState& state, base::WorkClass work_class, base::Instant now) const;
--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -134,6 +134,8 @@
   /// slots that were lowered or have expired.
   std::uint16_t held = 0;
   std::uint16_t in_use = 0;
+  /// This host does not use the target for now.
+  bool is_ejected = false;
 };
 
 /// Slots of one class and region that the host could use.
@@ -145,6 +147,8 @@
   std::uint16_t waiting_otherwise = 0;
   /// Free slots worth holding so that the next requests need not wait for a grant.
   std::uint16_t headroom = 0;
+  /// Slots in force, in use or not, on targets that may get work.
+  std::uint16_t usable = 0;
 };
 
 constexpr std::string_view Name(RefusalReason reason) {
--- /dev/null
+++ b/src/placement/internal/target_health.cc
@@ -0,0 +1,265 @@
+// Ejection by comparison with the pool. Evaluation is linear in the targets and runs a few times a
+// second; the observations between are constant time.
+#include "placement/target_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mangonotch::placement {
+namespace {
+
+/// Observations over which a target's latency is averaged.
+constexpr std::uint8_t kSamples = 8;
+/// Targets with observations that a median needs; of two, neither can be called the outlier.
+constexpr std::size_t kMinTargets = 3;
+/// Failures in a row that eject a target again after a return.
+constexpr std::uint8_t kFailuresAfterReturn = 2;
+/// Time constants with which the needed slots follow a rise and a fall of the load.
+constexpr double kRiseSeconds = 0.5;
+constexpr double kFallSeconds = 5;
+
+}  // namespace
+
+void TargetHealth::Reset(std::uint32_t target, bool is_cold, base::Instant now) {
+  Record& record = targets_[target];
+  record = {};
+  if (!is_cold) return;
+  record.state = State::kRamping;
+  record.end = now + settings_.ramp;
+}
+
+bool TargetHealth::OnAnswered(std::uint32_t target, base::WorkClass work_class,
+                              base::Duration latency) {
+  targets_[target].failures = 0;
+  return Observe(target, work_class, static_cast<float>(latency.seconds()));
+}
+
+bool TargetHealth::OnFailed(std::uint32_t target) {
+  Record& record = targets_[target];
+  if (record.failures < settings_.failures_in_a_row) ++record.failures;
+  return Severity(record) > 0;
+}
+
+bool TargetHealth::OnOverdue(std::uint32_t target, base::WorkClass work_class) {
+  const float median = medians_[static_cast<std::size_t>(work_class)];
+  return Observe(target, work_class, median * settings_.max_factor);
+}
+
+bool TargetHealth::IsOverdue(base::WorkClass work_class, base::Duration age) const {
+  const float median = medians_[static_cast<std::size_t>(work_class)];
+  return median > 0 && age.seconds() > median * settings_.overdue_factor;
+}
+
+bool TargetHealth::Observe(std::uint32_t target, base::WorkClass work_class, float seconds) {
+  const auto i = static_cast<std::size_t>(work_class);
+  Record& record = targets_[target];
+  Average& average = record.averages[i];
+  if (medians_[i] > 0) seconds = std::min(seconds, medians_[i] * settings_.max_factor);
+  if (average.samples < kSamples) ++average.samples;
+  average.latency += (seconds - average.latency) / static_cast<float>(average.samples);
+  return Severity(record) > 0;
+}
+
+float TargetHealth::Slowness(const Record& record, std::size_t work_class) const {
+  if (medians_[work_class] <= 0 || record.averages[work_class].samples == 0) return 1;
+  return std::max(record.averages[work_class].latency / medians_[work_class], 1.0F);
+}
+
+bool TargetHealth::IsFailing(const Record& record) const {
+  const std::uint8_t limit = record.ejections > 0
+                                 ? std::min(kFailuresAfterReturn, settings_.failures_in_a_row)
+                                 : settings_.failures_in_a_row;
+  return record.failures >= limit;
+}
+
+/// Above 0 for a target that should be ejected; a failing target is worse than any slow one.
+float TargetHealth::Severity(const Record& record) const {
+  if (record.state == State::kEjected) return 0;
+  if (IsFailing(record)) return settings_.max_factor + 1;
+  float slowness = 0;
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+    // A target that has just returned is ejected again on its first slow answers.
+    const bool has_enough = record.averages[i].samples >= kSamples || record.ejections > 0;
+    if (has_enough) slowness = std::max(slowness, Slowness(record, i));
+  }
+  return slowness > settings_.slow_factor ? slowness : 0;
+}
+
+float TargetHealth::Share(const Record& record, base::Instant now) const {
+  if (record.state == State::kEjected) return 0;
+  if (record.state == State::kWarm || now >= record.end) return 1;
+  const double left = (record.end - now).seconds() / settings_.ramp.seconds();
+  return static_cast<float>(settings_.ramp_start + (1 - settings_.ramp_start) * (1 - left));
+}
+
+Verdict TargetHealth::VerdictFor(std::uint32_t target, base::RegionIndex region,
+                                 base::Instant now) const {
+  const Record& record = targets_[target];
+  Verdict verdict{.is_ejected = record.state == State::kEjected, .share = Share(record, now)};
+  if (verdict.is_ejected || verdict.share >= 1 || region.value >= regions_.size()) return verdict;
+  const Region& pool = regions_[region.value];
+  verdict.limits_slots = true;
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+    const bool is_needed = pool.ramped_slots[i] < pool.needed[i] * settings_.floor_factor;
+    if (is_needed) verdict.limits_slots = false;
+  }
+  return verdict;
+}
+
+void TargetHealth::Evaluate(std::span<const PoolMember> pool,
+                            std::array<std::size_t, base::kWorkClasses> waiting,
+                            base::Instant now) {
+  UpdateMedians(pool);
+  AdvanceStates(pool, now);
+  UpdateRegions(pool, waiting, now);
+  ReturnNeeded(pool, now);
+  if (settings_.ejects) EjectSlowest(pool, now);
+  last_evaluation_ = now;
+}
+
+void TargetHealth::UpdateMedians(std::span<const PoolMember> pool) {
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+    scratch_.clear();
+    for (std::size_t target = 0; target < pool.size(); ++target) {
+      const Average& average = targets_[target].averages[i];
+      const bool counts = pool[target].is_open && average.samples >= kSamples;
+      if (counts) scratch_.push_back(average.latency);
+    }
+    if (scratch_.size() < kMinTargets) continue;
+    const auto middle = scratch_.begin() + static_cast<std::ptrdiff_t>(scratch_.size() / 2);
+    std::nth_element(scratch_.begin(), middle, scratch_.end());
+    medians_[i] = *middle;
+  }
+}
+
+bool TargetHealth::HasEnoughSamples(const Record& record) const {
+  return std::any_of(record.averages.begin(), record.averages.end(),
+                     [](const Average& average) { return average.samples >= kSamples; });
+}
+
+void TargetHealth::AdvanceStates(std::span<const PoolMember> pool, base::Instant now) {
+  for (std::uint32_t target = 0; target < pool.size(); ++target) {
+    Record& record = targets_[target];
+    if (record.state == State::kEjected && now >= record.end) Return(target, pool[target], now);
+    if (record.state == State::kRamping && now >= record.end) record.state = State::kWarm;
+    if (record.state == State::kWarm && record.ejections > 0 && HasEnoughSamples(record)) {
+      record.ejections = 0;
+    }
+  }
+}
+
+void TargetHealth::UpdateRegions(std::span<const PoolMember> pool,
+                                 std::array<std::size_t, base::kWorkClasses> waiting,
+                                 base::Instant now) {
+  for (Region& region : regions_) {
+    region.open = region.ejected = 0;
+    region.slots = region.ramped_slots = region.needed_now = {};
+  }
+  std::array<float, base::kWorkClasses> all_slots{};
+  for (std::uint32_t target = 0; target < pool.size(); ++target) {
+    const PoolMember& member = pool[target];
+    const Record& record = targets_[target];
+    if (regions_.size() <= member.region.value) regions_.resize(member.region.value + 1);
+    Region& region = regions_[member.region.value];
+    const bool is_ejected = record.state == State::kEjected;
+    if (member.is_open) ++region.open;
+    if (member.is_open && is_ejected) ++region.ejected;
+    for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+      region.needed_now[i] += static_cast<float>(member.in_use[i]) / Slowness(record, i);
+      if (!member.is_open || is_ejected) continue;
+      region.slots[i] += member.slots[i];
+      region.ramped_slots[i] += member.slots[i] * Share(record, now);
+      all_slots[i] += member.slots[i];
+    }
+  }
+  const double elapsed = (now - last_evaluation_).seconds();
+  for (Region& region : regions_) {
+    for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+      // Waiters are spread over the regions by their slots.
+      const float share = all_slots[i] > 0 ? region.slots[i] / all_slots[i] : 0;
+      region.needed_now[i] += static_cast<float>(waiting[i]) * share;
+      const float change = region.needed_now[i] - region.needed[i];
+      const double constant = change > 0 ? kRiseSeconds : kFallSeconds;
+      region.needed[i] += change * static_cast<float>(1 - std::exp(-elapsed / constant));
+    }
+  }
+}
+
+bool TargetHealth::MayEject(const PoolMember& member, const Record& record) const {
+  const Region& region = regions_[member.region.value];
+  const std::uint32_t allowed = std::max(region.open * settings_.max_ejected_per_mille / 1000, 1U);
+  if (region.ejected + 1 > allowed || region.ejected + 1 >= region.open) return false;
+  // A target that fails everything serves nothing, so the load does not need it.
+  if (IsFailing(record)) return true;
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+    if (member.slots[i] == 0) continue;
+    const float left = region.slots[i] - member.slots[i];
+    if (left <= 0 || left < region.needed[i] * settings_.floor_factor) return false;
+  }
+  return true;
+}
+
+void TargetHealth::EjectSlowest(std::span<const PoolMember> pool, base::Instant now) {
+  suspects_.clear();
+  for (std::uint32_t target = 0; target < pool.size(); ++target) {
+    if (pool[target].is_open && Severity(targets_[target]) > 0) suspects_.push_back(target);
+  }
+  std::sort(suspects_.begin(), suspects_.end(), [&](std::uint32_t a, std::uint32_t b) {
+    return Severity(targets_[a]) > Severity(targets_[b]);
+  });
+  for (const std::uint32_t target : suspects_) {
+    if (MayEject(pool[target], targets_[target])) Eject(target, pool[target], now);
+  }
+}
+
+/// When the load has grown past the slots that are left, the least slow target returns. One in each
+/// evaluation, so that the load is measured again before the next.
+void TargetHealth::ReturnNeeded(std::span<const PoolMember> pool, base::Instant now) {
+  std::uint32_t best = 0;
+  float best_slowness = 0;
+  for (std::uint32_t target = 0; target < pool.size(); ++target) {
+    const PoolMember& member = pool[target];
+    const Record& record = targets_[target];
+    if (!member.is_open || record.state != State::kEjected || IsFailing(record)) continue;
+    if (!IsNeeded(member)) continue;
+    const float slowness = std::max(Slowness(record, 0), Slowness(record, 1));
+    if (best_slowness > 0 && slowness >= best_slowness) continue;
+    best = target;
+    best_slowness = slowness;
+  }
+  if (best_slowness > 0) Return(best, pool[best], now);
+}
+
+bool TargetHealth::IsNeeded(const PoolMember& member) const {
+  const Region& region = regions_[member.region.value];
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
+    if (member.slots[i] > 0 && region.slots[i] < region.needed[i]) return true;
+  }
+  return false;
+}
+
+void TargetHealth::Eject(std::uint32_t target, const PoolMember& member, base::Instant now) {
+  Record& record = targets_[target];
+  base::Duration length = settings_.ejection;
+  for (int i = 0; i < record.ejections && length < settings_.max_ejection; ++i) length = length * 2;
+  record.end = now + std::min(length, settings_.max_ejection);
+  record.state = State::kEjected;
+  if (record.ejections < 255) ++record.ejections;
+  Region& region = regions_[member.region.value];
+  ++region.ejected;
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) region.slots[i] -= member.slots[i];
+}
+
+void TargetHealth::Return(std::uint32_t target, const PoolMember& member, base::Instant now) {
+  Record& record = targets_[target];
+  record.state = State::kRamping;
+  record.end = now + settings_.ramp;
+  record.failures = 0;
+  record.averages = {};
+  if (member.region.value >= regions_.size()) return;
+  Region& region = regions_[member.region.value];
+  if (region.ejected > 0) --region.ejected;
+  for (std::size_t i = 0; i < base::kWorkClasses; ++i) region.slots[i] += member.slots[i];
+}
+
+}  // namespace mangonotch::placement
