Keep slow targets in reserve where the floor forbids their ejection

Cause: at high load the floor on the pool kept slow workers in full use, though a request that waits a few milliseconds for a fast worker ends sooner than one on a slow worker. Ruled out: lowering the floor, which would shrink the pool below what the load needs. Change: an excluded target that may not be ejected takes requests only when the expected wait passes the cost of its slowness, when no other target is usable, or when half of the queue is full.

--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -81,9 +81,9 @@
   Decision Admit(const Request& request, base::Instant now) {
     Lane& lane = LaneOf(request.work_class);
     if (now >= request.deadline) return Refused{RefusalReason::kDeadlinePassed, {}};
-    if (const auto admitted = TryTake(request, now)) return *admitted;
-    if (!HasOpenTarget(request)) return Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)};
     const std::size_t n = lane.queue.size();
+    if (const auto admitted = TryTake(request, n + 1, now)) return *admitted;
+    if (!HasOpenTarget(request)) return Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)};
     const base::Instant expected_end =
         now + lane.load.ExpectedWait(n + 1) + lane.load.ServiceTime();
     if (expected_end > request.deadline) {
@@ -211,10 +211,18 @@
     });
   }
 
-  std::optional<Admitted> TryTake(const Request& request, base::Instant now) {
-    // Each pass either admits or drops a region or an expired target from the candidates.
-    while (const auto region = ChooseRegion(request)) {
-      const auto candidates = slots_.Candidates(request.work_class, *region, ExcludedOf(request));
+  /// `position` is the place in the queue that the request has or would have, from 1.
+  std::optional<Admitted> TryTake(const Request& request, std::size_t position, base::Instant now) {
+    if (const auto admitted = TryTakeFrom(Tier::kPrimary, request, position, now)) return admitted;
+    return TryTakeFrom(Tier::kReserve, request, position, now);
+  }
+
+  std::optional<Admitted> TryTakeFrom(Tier tier, const Request& request, std::size_t position,
+                                      base::Instant now) {
+    // Each pass either returns or drops an expired target from the candidates.
+    while (const auto region = ChooseRegion(tier, request)) {
+      const auto candidates =
+          slots_.Candidates(request.work_class, tier, *region, ExcludedOf(request));
       Lane& lane = LaneOf(request.work_class);
       const auto chosen =
           candidates[lane.policy.Choose({candidates, slots_.loads()}, now, random_)];
@@ -222,6 +230,7 @@
         slots_.Refresh(chosen, request.work_class, now);
         continue;
       }
+      if (tier == Tier::kReserve && !IsWorthReserve(lane, chosen, position)) return std::nullopt;
       lane.load.OnTaken(*region, now);
       const Slot slot = slots_.Take(chosen, request.work_class, request.deadline, now);
       return Admitted{slot, slots_.targets()[chosen].target.key};
@@ -229,17 +238,23 @@
     return std::nullopt;
   }
 
+  /// A slow target is used only when the wait for another one would cost more than its slowness, or
+  /// when the queue fills up, since refusing is worse than slowness.
+  bool IsWorthReserve(const Lane& lane, TargetPosition chosen, std::size_t position) const {
+    if (lane.load.usable_slots() == 0 || lane.queue.size() > lane.queue.capacity() / 2) return true;
+    const float slowness = slots_.targets()[chosen].verdict.slowness;
+    const double cost = (slowness - 1) * lane.load.ServiceTime().seconds();
+    return lane.load.ExpectedWait(position).seconds() > cost;
+  }
+
   /// Draws a region with candidates in proportion to the weights, else the first in order.
-  std::optional<base::RegionIndex> ChooseRegion(const Request& request) {
-    if (!slots_.HasAvailable(request.work_class)) return std::nullopt;
+  std::optional<base::RegionIndex> ChooseRegion(Tier tier, const Request& request) {
+    if (!slots_.HasAvailable(request.work_class, tier)) return std::nullopt;
     const auto excluded = ExcludedOf(request);
-    const auto has_candidates = [&](const RegionPreference& r) {
-      return !slots_.Candidates(request.work_class, r.region, excluded).empty();
-    };
     std::optional<base::RegionIndex> chosen;
     std::uint64_t total = 0;
     for (const RegionPreference& r : RegionsOf(request)) {
-      if (!has_candidates(r)) continue;
+      if (slots_.Candidates(request.work_class, tier, r.region, excluded).empty()) continue;
       total += r.weight;
       // Reservoir sampling: the region replaces the earlier choice with probability weight / total.
       const bool is_drawn = r.weight > 0 && random_.Next() % total < r.weight;
@@ -259,7 +274,7 @@
             {id, Refused{RefusalReason::kDeadlinePassed, lane.load.RetryAfter(lane.queue.size())}});
       } else if (!HasOpenTarget(request)) {
         ready_.push_back({id, Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)}});
-      } else if (const auto admitted = TryTake(request, now)) {
+      } else if (const auto admitted = TryTake(request, i + 1, now)) {
         ready_.push_back({id, *admitted});
       } else {
         ++i;
--- a/src/admission/internal/slot_table.cc
+++ b/src/admission/internal/slot_table.cc
@@ -17,6 +17,10 @@
 
 constexpr std::array kClasses = {base::WorkClass::kShort, base::WorkClass::kLong};
 
+Tier TierOf(const TargetState& state) {
+  return state.verdict.is_reserve ? Tier::kReserve : Tier::kPrimary;
+}
+
 bool IsInUse(const TargetState& state) {
   return state.classes[0].in_use > 0 || state.classes[1].in_use > 0;
 }
@@ -57,8 +61,10 @@
   state.target = target;
   state.is_listed = true;
   loads_[position].weight = static_cast<float>(std::max(target.weight, 1U));
-  for (auto& regions : available_) {
-    if (regions.size() <= target.region.value) regions.resize(target.region.value + 1);
+  for (auto& tiers : available_) {
+    for (Lists& lists : tiers) {
+      if (lists.size() <= target.region.value) lists.resize(target.region.value + 1);
+    }
   }
   for (const auto work_class : kClasses) Refresh(position, work_class, now);
   return {position, is_new};
@@ -75,8 +81,12 @@
     free_positions_.push_back(it->second);
     it = positions_.erase(it);
   }
-  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
-    for (auto& region : available_[i]) region.reserve(targets_.size());
+  std::vector<std::size_t> sizes(regions());
+  for (const TargetState& state : targets_) ++sizes[state.target.region.value];
+  for (auto& tiers : available_) {
+    for (Lists& lists : tiers) {
+      for (std::size_t i = 0; i < lists.size(); ++i) lists[i].reserve(sizes[i]);
+    }
   }
   ReserveSlots();
   CountOpenTargets();
@@ -125,6 +135,7 @@
 
 void SlotTable::SetVerdict(TargetPosition position, const placement::Verdict& verdict,
                            base::Instant now) {
+  for (const auto work_class : kClasses) RemoveAvailable(position, work_class);
   TargetState& state = targets_[position];
   state.verdict = verdict;
   const auto weight = static_cast<float>(std::max(state.target.weight, 1U));
@@ -138,19 +149,24 @@
   }
 }
 
-std::span<const TargetPosition> SlotTable::Candidates(base::WorkClass work_class,
+SlotTable::Lists& SlotTable::ListsOf(base::WorkClass work_class, Tier tier) {
+  return available_[ClassIndex(work_class)][static_cast<std::size_t>(tier)];
+}
+
+std::span<const TargetPosition> SlotTable::Candidates(base::WorkClass work_class, Tier tier,
                                                       base::RegionIndex region,
                                                       std::span<const base::TargetKey> excluded) {
-  auto& regions = available_[ClassIndex(work_class)];
-  if (region.value >= regions.size()) return {};
-  std::span<TargetPosition> list = regions[region.value];
+  Lists& lists = ListsOf(work_class, tier);
+  if (region.value >= lists.size()) return {};
+  std::span<TargetPosition> list = lists[region.value];
   // Excluded targets are moved behind the candidates.
   for (const base::TargetKey key : excluded) {
     const auto position = Find(key);
     if (!position) continue;
     ClassState& state = targets_[*position].classes[ClassIndex(work_class)];
     const bool is_candidate = targets_[*position].target.region == region &&
-                              state.place != kNotAvailable && state.place < list.size();
+                              TierOf(targets_[*position]) == tier && state.place != kNotAvailable &&
+                              state.place < list.size();
     if (!is_candidate) continue;
     ClassState& last = targets_[list.back()].classes[ClassIndex(work_class)];
     std::swap(list[state.place], list.back());
@@ -185,22 +201,22 @@
   TargetState& state = targets_[position];
   ClassState& of_class = state.classes[ClassIndex(work_class)];
   if (of_class.place != kNotAvailable) return;
-  auto& list = available_[ClassIndex(work_class)][state.target.region.value];
+  auto& list = ListsOf(work_class, TierOf(state))[state.target.region.value];
   of_class.place = static_cast<std::uint32_t>(list.size());
   list.push_back(position);
-  ++available_count_[ClassIndex(work_class)];
+  ++available_count_[ClassIndex(work_class)][static_cast<std::size_t>(TierOf(state))];
 }
 
 void SlotTable::RemoveAvailable(TargetPosition position, base::WorkClass work_class) {
   TargetState& state = targets_[position];
   ClassState& of_class = state.classes[ClassIndex(work_class)];
   if (of_class.place == kNotAvailable) return;
-  auto& list = available_[ClassIndex(work_class)][state.target.region.value];
+  auto& list = ListsOf(work_class, TierOf(state))[state.target.region.value];
   const TargetPosition moved = list.back();
   list[of_class.place] = moved;
   targets_[moved].classes[ClassIndex(work_class)].place = of_class.place;
   list.pop_back();
-  --available_count_[ClassIndex(work_class)];
+  --available_count_[ClassIndex(work_class)][static_cast<std::size_t>(TierOf(state))];
   of_class.place = kNotAvailable;
 }
 
@@ -265,6 +281,7 @@
   if (of_class.in_use >= state.ramp_limits[ClassIndex(work_class)]) {
     return ExclusionReason::kWarmingUp;
   }
+  if (state.verdict.is_reserve) return ExclusionReason::kReserve;
   return ExclusionReason::kNone;
 }
 
@@ -284,8 +301,8 @@
   return n > 0;
 }
 
-bool SlotTable::HasAvailable(base::WorkClass work_class) const {
-  return available_count_[ClassIndex(work_class)] > 0;
+bool SlotTable::HasAvailable(base::WorkClass work_class, Tier tier) const {
+  return available_count_[ClassIndex(work_class)][static_cast<std::size_t>(tier)] > 0;
 }
 
 std::uint16_t SlotTable::UsableSlots(const TargetState& state, base::WorkClass work_class,
@@ -293,7 +310,7 @@
   const ClassState& of_class = state.classes[ClassIndex(work_class)];
   const bool is_usable = state.is_listed && !state.is_leaving && !state.verdict.is_ejected &&
                          now < of_class.grant_deadline;
-  if (!is_usable) return 0;
+  if (!is_usable || state.verdict.is_reserve) return 0;
   return std::min(of_class.granted, state.ramp_limits[ClassIndex(work_class)]);
 }
 
--- a/src/admission/slot_table.h
+++ b/src/admission/slot_table.h
@@ -18,6 +18,10 @@
 /// Position of a target in a slot table; stays the same while the target is listed or in use.
 using TargetPosition = std::uint32_t;
 
+/// Available targets are kept apart by what they are good for.
+enum class Tier : std::uint8_t { kPrimary, kReserve };
+inline constexpr std::size_t kTiers = 2;
+
 /// A slot in use.
 struct SlotRecord {
   TargetPosition target = 0;
@@ -80,7 +84,8 @@
 
   /// Available targets of a region, without those excluded. Valid until the next call. A listed
   /// target may have an expired grant: check `IsGrantInForce` and call `Refresh` when it has.
-  std::span<const TargetPosition> Candidates(base::WorkClass work_class, base::RegionIndex region,
+  std::span<const TargetPosition> Candidates(base::WorkClass work_class, Tier tier,
+                                             base::RegionIndex region,
                                              std::span<const base::TargetKey> excluded);
   bool IsGrantInForce(TargetPosition position, base::WorkClass work_class, base::Instant now) const;
   /// Re-computes whether a target is available.
@@ -103,12 +108,12 @@
   /// True when a listed target of the region is neither leaving nor excluded.
   bool HasOpenTarget(base::RegionIndex region, std::span<const base::TargetKey> excluded) const;
   /// True when some target of the class has a free slot (its grant may have expired since).
-  bool HasAvailable(base::WorkClass work_class) const;
-  /// Slots in force on targets that may get work, for estimates.
+  bool HasAvailable(base::WorkClass work_class, Tier tier) const;
+  /// Slots in force on targets that may get work and are not in reserve, for estimates.
   std::uint32_t CountUsableSlots(base::WorkClass work_class, base::Instant now) const;
   std::uint16_t CountUsableSlots(base::WorkClass work_class, base::RegionIndex region,
                                  base::Instant now) const;
-  std::size_t regions() const { return available_[0].size(); }
+  std::size_t regions() const { return available_[0][0].size(); }
 
  private:
   /// Keys are hashes already.
@@ -135,9 +140,11 @@
   std::vector<placement::TargetLoad> loads_;
   std::unordered_map<base::TargetKey, TargetPosition, KeyHash> positions_;
   std::vector<TargetPosition> free_positions_;
-  /// Available targets by class and region, in no order.
-  std::array<std::vector<std::vector<TargetPosition>>, base::kWorkClasses> available_;
-  std::array<std::uint32_t, base::kWorkClasses> available_count_{};
+  using Lists = std::vector<std::vector<TargetPosition>>;
+  Lists& ListsOf(base::WorkClass work_class, Tier tier);
+  /// Available targets by class, tier and region, in no order.
+  std::array<std::array<Lists, kTiers>, base::kWorkClasses> available_;
+  std::array<std::array<std::uint32_t, kTiers>, base::kWorkClasses> available_count_{};
   /// Listed targets that are not leaving, by region.
   std::vector<std::uint32_t> open_targets_;
   std::vector<SlotRecord> slots_;
--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -117,8 +117,9 @@
   kExcluded,
   kWarmingUp,  // It has a free slot, but its ramp does not allow more requests yet.
   kOtherRegion,
+  kReserve,  // Slow, but needed: it gets requests only while all other targets are busy.
 };
-inline constexpr std::size_t kExclusionReasons = 9;
+inline constexpr std::size_t kExclusionReasons = 10;
 
 struct Explanation {
   base::TargetKey target;
@@ -201,6 +202,8 @@
       return "warming-up";
     case ExclusionReason::kOtherRegion:
       return "other-region";
+    case ExclusionReason::kReserve:
+      return "reserve";
   }
   return "unknown";
 }
--- a/src/admission/wait_queue.h
+++ b/src/admission/wait_queue.h
@@ -30,6 +30,7 @@
 
   bool IsFull() const { return order_.size() == waiters_.size(); }
   std::size_t size() const { return order_.size(); }
+  std::size_t capacity() const { return waiters_.size(); }
 
   /// The queue must not be full.
   void Push(WaiterId id, const Request& request);
--- a/src/placement/internal/target_health.cc
+++ b/src/placement/internal/target_health.cc
@@ -66,7 +66,7 @@
 }
 
 bool TargetHealth::IsFailing(const Record& record) const {
-  const std::uint8_t limit = record.ejections > 0
+  const std::uint8_t limit = record.exclusions > 0
                                  ? std::min(kFailuresAfterReturn, settings_.failures_in_a_row)
                                  : settings_.failures_in_a_row;
   return record.failures >= limit;
@@ -74,19 +74,19 @@
 
 /// Above 0 for a target that should be ejected; a failing target is worse than any slow one.
 float TargetHealth::Severity(const Record& record) const {
-  if (record.state == State::kEjected) return 0;
+  if (record.state == State::kExcluded) return 0;
   if (IsFailing(record)) return settings_.max_factor + 1;
   float slowness = 0;
   for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
     // A target that has just returned is ejected again on its first slow answers.
-    const bool has_enough = record.averages[i].samples >= kSamples || record.ejections > 0;
+    const bool has_enough = record.averages[i].samples >= kSamples || record.exclusions > 0;
     if (has_enough) slowness = std::max(slowness, Slowness(record, i));
   }
   return slowness > settings_.slow_factor ? slowness : 0;
 }
 
 float TargetHealth::Share(const Record& record, base::Instant now) const {
-  if (record.state == State::kEjected) return 0;
+  if (record.state == State::kExcluded) return 0;
   if (record.state == State::kWarm || now >= record.end) return 1;
   const double left = (record.end - now).seconds() / settings_.ramp.seconds();
   return static_cast<float>(settings_.ramp_start + (1 - settings_.ramp_start) * (1 - left));
@@ -95,8 +95,11 @@
 Verdict TargetHealth::VerdictFor(std::uint32_t target, base::RegionIndex region,
                                  base::Instant now) const {
   const Record& record = targets_[target];
-  Verdict verdict{.is_ejected = record.state == State::kEjected, .share = Share(record, now)};
-  if (verdict.is_ejected || verdict.share >= 1 || region.value >= regions_.size()) return verdict;
+  const bool is_excluded = record.state == State::kExcluded;
+  if (is_excluded && record.is_ejected) return {.is_ejected = true, .share = 0};
+  if (is_excluded) return {.is_reserve = true, .slowness = record.severity};
+  Verdict verdict{.share = Share(record, now)};
+  if (verdict.share >= 1 || region.value >= regions_.size()) return verdict;
   const Region& pool = regions_[region.value];
   verdict.limits_slots = true;
   for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
@@ -110,10 +113,10 @@
                             std::array<std::size_t, base::kWorkClasses> waiting,
                             base::Instant now) {
   UpdateMedians(pool);
-  AdvanceStates(pool, now);
+  AdvanceStates(now);
+  if (settings_.ejects) ExcludeSuspects(pool, now);
   UpdateRegions(pool, waiting, now);
-  ReturnNeeded(pool, now);
-  if (settings_.ejects) EjectSlowest(pool, now);
+  EjectWorst(pool);
   last_evaluation_ = now;
 }
 
@@ -137,13 +140,12 @@
                      [](const Average& average) { return average.samples >= kSamples; });
 }
 
-void TargetHealth::AdvanceStates(std::span<const PoolMember> pool, base::Instant now) {
-  for (std::uint32_t target = 0; target < pool.size(); ++target) {
-    Record& record = targets_[target];
-    if (record.state == State::kEjected && now >= record.end) Return(target, pool[target], now);
+void TargetHealth::AdvanceStates(base::Instant now) {
+  for (Record& record : targets_) {
+    if (record.state == State::kExcluded && now >= record.end) Return(record, now);
     if (record.state == State::kRamping && now >= record.end) record.state = State::kWarm;
-    if (record.state == State::kWarm && record.ejections > 0 && HasEnoughSamples(record)) {
-      record.ejections = 0;
+    if (record.state == State::kWarm && record.exclusions > 0 && HasEnoughSamples(record)) {
+      record.exclusions = 0;
     }
   }
 }
@@ -161,12 +163,10 @@
     const Record& record = targets_[target];
     if (regions_.size() <= member.region.value) regions_.resize(member.region.value + 1);
     Region& region = regions_[member.region.value];
-    const bool is_ejected = record.state == State::kEjected;
     if (member.is_open) ++region.open;
-    if (member.is_open && is_ejected) ++region.ejected;
     for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
       region.needed_now[i] += static_cast<float>(member.in_use[i]) / Slowness(record, i);
-      if (!member.is_open || is_ejected) continue;
+      if (!member.is_open) continue;
       region.slots[i] += member.slots[i];
       region.ramped_slots[i] += member.slots[i] * Share(record, now);
       all_slots[i] += member.slots[i];
@@ -199,67 +199,50 @@
   return true;
 }
 
-void TargetHealth::EjectSlowest(std::span<const PoolMember> pool, base::Instant now) {
-  suspects_.clear();
+void TargetHealth::ExcludeSuspects(std::span<const PoolMember> pool, base::Instant now) {
   for (std::uint32_t target = 0; target < pool.size(); ++target) {
-    if (pool[target].is_open && Severity(targets_[target]) > 0) suspects_.push_back(target);
-  }
-  std::sort(suspects_.begin(), suspects_.end(), [&](std::uint32_t a, std::uint32_t b) {
-    return Severity(targets_[a]) > Severity(targets_[b]);
-  });
-  for (const std::uint32_t target : suspects_) {
-    if (MayEject(pool[target], targets_[target])) Eject(target, pool[target], now);
+    Record& record = targets_[target];
+    if (pool[target].is_open && Severity(record) > 0) Exclude(record, now);
   }
 }
 
-/// When the load has grown past the slots that are left, the least slow target returns. One in each
-/// evaluation, so that the load is measured again before the next.
-void TargetHealth::ReturnNeeded(std::span<const PoolMember> pool, base::Instant now) {
-  std::uint32_t best = 0;
-  float best_slowness = 0;
+/// Of the excluded targets, ejects as many as the floor on the pool allows, worst first.
+void TargetHealth::EjectWorst(std::span<const PoolMember> pool) {
+  excluded_.clear();
   for (std::uint32_t target = 0; target < pool.size(); ++target) {
-    const PoolMember& member = pool[target];
-    const Record& record = targets_[target];
-    if (!member.is_open || record.state != State::kEjected || IsFailing(record)) continue;
-    if (!IsNeeded(member)) continue;
-    const float slowness = std::max(Slowness(record, 0), Slowness(record, 1));
-    if (best_slowness > 0 && slowness >= best_slowness) continue;
-    best = target;
-    best_slowness = slowness;
+    const bool is_excluded = targets_[target].state == State::kExcluded;
+    if (pool[target].is_open && is_excluded) excluded_.push_back(target);
   }
-  if (best_slowness > 0) Return(best, pool[best], now);
-}
-
-bool TargetHealth::IsNeeded(const PoolMember& member) const {
-  const Region& region = regions_[member.region.value];
-  for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
-    if (member.slots[i] > 0 && region.slots[i] < region.needed[i]) return true;
+  std::sort(excluded_.begin(), excluded_.end(), [&](std::uint32_t a, std::uint32_t b) {
+    return targets_[a].severity > targets_[b].severity;
+  });
+  for (const std::uint32_t target : excluded_) {
+    Record& record = targets_[target];
+    const PoolMember& member = pool[target];
+    record.is_ejected = MayEject(member, record);
+    if (!record.is_ejected) continue;
+    Region& region = regions_[member.region.value];
+    ++region.ejected;
+    for (std::size_t i = 0; i < base::kWorkClasses; ++i) region.slots[i] -= member.slots[i];
   }
-  return false;
 }
 
-void TargetHealth::Eject(std::uint32_t target, const PoolMember& member, base::Instant now) {
-  Record& record = targets_[target];
+void TargetHealth::Exclude(Record& record, base::Instant now) {
   base::Duration length = settings_.ejection;
-  for (int i = 0; i < record.ejections && length < settings_.max_ejection; ++i) length = length * 2;
+  for (int i = 0; i < record.exclusions && length < settings_.max_ejection; ++i) {
+    length = length * 2;
+  }
+  record.severity = Severity(record);
   record.end = now + std::min(length, settings_.max_ejection);
-  record.state = State::kEjected;
-  if (record.ejections < 255) ++record.ejections;
-  Region& region = regions_[member.region.value];
-  ++region.ejected;
-  for (std::size_t i = 0; i < base::kWorkClasses; ++i) region.slots[i] -= member.slots[i];
+  record.state = State::kExcluded;
+  if (record.exclusions < 255) ++record.exclusions;
 }
 
-void TargetHealth::Return(std::uint32_t target, const PoolMember& member, base::Instant now) {
-  Record& record = targets_[target];
+void TargetHealth::Return(Record& record, base::Instant now) {
   record.state = State::kRamping;
   record.end = now + settings_.ramp;
   record.failures = 0;
   record.averages = {};
-  if (member.region.value >= regions_.size()) return;
-  Region& region = regions_[member.region.value];
-  if (region.ejected > 0) --region.ejected;
-  for (std::size_t i = 0; i < base::kWorkClasses; ++i) region.slots[i] += member.slots[i];
 }
 
 }  // namespace mangonotch::placement
--- a/src/placement/target_health.h
+++ b/src/placement/target_health.h
@@ -27,7 +27,8 @@
   std::uint32_t max_ejected_per_mille = 340;
   /// Slots that must stay after an ejection, as a multiple of the slots that the load needs.
   float floor_factor = 1.1F;
-  /// The first ejection lasts this long; each one soon after a return doubles it up to the maximum.
+  /// The first exclusion lasts this long; each one soon after a return doubles it up to the
+  /// maximum.
   base::Duration ejection = base::Duration::Seconds(1);
   base::Duration max_ejection = base::Duration::Seconds(30);
   /// A returning or new target gets its full share of work after this time.
@@ -45,7 +46,13 @@
 };
 
 struct Verdict {
+  /// Gets nothing.
   bool is_ejected = false;
+  /// Slow or failing, but the floor on the pool forbids its ejection: gets requests only where the
+  /// wait for another target would cost more than its slowness.
+  bool is_reserve = false;
+  /// Latency of a reserve target relative to the pool.
+  float slowness = 1;
   /// Share of its weight that the target gets; below 1 during its ramp.
   float share = 1;
   /// The share also bounds its slots; not so when the load needs them.
@@ -70,14 +77,14 @@
   bool OnOverdue(std::uint32_t target, base::WorkClass work_class);
   bool IsOverdue(base::WorkClass work_class, base::Duration age) const;
 
-  /// Ejects and returns targets. `waiting` is the number of waiters of each class.
+  /// Excludes and returns targets. `waiting` is the number of waiters of each class.
   void Evaluate(std::span<const PoolMember> pool,
                 std::array<std::size_t, base::kWorkClasses> waiting, base::Instant now);
 
   Verdict VerdictFor(std::uint32_t target, base::RegionIndex region, base::Instant now) const;
 
  private:
-  enum class State : std::uint8_t { kWarm, kRamping, kEjected };
+  enum class State : std::uint8_t { kWarm, kRamping, kExcluded };
 
   struct Average {
     /// Seconds, of observations cut to `max_factor` times the median.
@@ -87,10 +94,14 @@
 
   struct Record {
     State state = State::kWarm;
+    /// Of an excluded target: ejected, or else kept in reserve.
+    bool is_ejected = false;
     std::uint8_t failures = 0;
-    /// Ejections since the target last gave enough good answers; each doubles the next one.
-    std::uint8_t ejections = 0;
-    /// End of the ejection or of the ramp.
+    /// Exclusions since the target last gave enough good answers; each doubles the next one.
+    std::uint8_t exclusions = 0;
+    /// Latency of an excluded target relative to the median when it was excluded.
+    float severity = 0;
+    /// End of the exclusion or of the ramp.
     base::Instant end;
     std::array<Average, base::kWorkClasses> averages;
   };
@@ -99,13 +110,13 @@
   struct Region {
     std::uint32_t open = 0;
     std::uint32_t ejected = 0;
-    /// Slots in force on targets that are not ejected.
+    /// Slots in force on open targets that are not ejected.
     std::array<float, base::kWorkClasses> slots{};
     /// Slots that the work in use needs when served at the pool's speed: an average that follows a
     /// rise faster than a fall.
     std::array<float, base::kWorkClasses> needed{};
     std::array<float, base::kWorkClasses> needed_now{};
-    /// Slots in force on targets that are not ejected, each by the share of its ramp.
+    /// The same, each by the share of its ramp.
     std::array<float, base::kWorkClasses> ramped_slots{};
   };
 
@@ -117,14 +128,13 @@
   void UpdateMedians(std::span<const PoolMember> pool);
   void UpdateRegions(std::span<const PoolMember> pool,
                      std::array<std::size_t, base::kWorkClasses> waiting, base::Instant now);
-  void AdvanceStates(std::span<const PoolMember> pool, base::Instant now);
-  void EjectSlowest(std::span<const PoolMember> pool, base::Instant now);
-  void ReturnNeeded(std::span<const PoolMember> pool, base::Instant now);
+  void AdvanceStates(base::Instant now);
+  void ExcludeSuspects(std::span<const PoolMember> pool, base::Instant now);
+  void EjectWorst(std::span<const PoolMember> pool);
   bool HasEnoughSamples(const Record& record) const;
-  bool IsNeeded(const PoolMember& member) const;
   bool MayEject(const PoolMember& member, const Record& record) const;
-  void Eject(std::uint32_t target, const PoolMember& member, base::Instant now);
-  void Return(std::uint32_t target, const PoolMember& member, base::Instant now);
+  void Exclude(Record& record, base::Instant now);
+  void Return(Record& record, base::Instant now);
 
   HealthSettings settings_;
   std::vector<Record> targets_;
@@ -133,7 +143,7 @@
   std::array<float, base::kWorkClasses> medians_{};
   base::Instant last_evaluation_;
   std::vector<float> scratch_;
-  std::vector<std::uint32_t> suspects_;
+  std::vector<std::uint32_t> excluded_;
 };
 
 }  // namespace mangonotch::placement
