--- a/src/admission/class_load.h
+++ b/src/admission/class_load.h
@@ -24,7 +24,6 @@
 
   /// Slots in force on targets that are not in reserve.
   void SetUsableSlots(std::uint32_t slots) { usable_slots_ = slots; }
-  std::uint32_t usable_slots() const { return usable_slots_; }
   void OnTaken(base::RegionIndex region, base::Instant now);
   void OnReleased(base::RegionIndex region, base::Duration held);
 
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -56,10 +56,10 @@
   }
   /// The target gets nothing new until the mark is cleared. False for an unknown target.
   bool MarkLeaving(base::TargetKey target, base::Instant now) {
-    return slots_.SetLeaving(target, true, now);
+    return SetLeaving(target, true, now);
   }
   bool ClearLeaving(base::TargetKey target, base::Instant now) {
-    return slots_.SetLeaving(target, false, now);
+    return SetLeaving(target, false, now);
   }
   /// A target's own report of its load; advice to the policy.
   void ReportLoad(base::TargetKey target, std::uint16_t load_per_mille, base::Instant now) {
@@ -71,9 +71,7 @@
   /// about ten times a second.
   void Tick(base::Instant now) {
     health_.Evaluate(slots_, {lanes_[0].queue.size(), lanes_[1].queue.size()}, now);
-    for (const auto work_class : {base::WorkClass::kShort, base::WorkClass::kLong}) {
-      LaneOf(work_class).load.SetUsableSlots(slots_.CountUsableSlots(work_class, now));
-    }
+    UpdateUsable(now);
   }
 
   // Traffic operations.
@@ -169,6 +167,18 @@
     return demand;
   }
 
+  /// Room that is left when the target stops; a planned stop is delayed while it is not enough. An
+  /// unknown target takes nothing away.
+  Headroom HeadroomWithout(base::TargetKey target, base::WorkClass work_class,
+                           base::Instant now) const {
+    const auto position = slots_.Find(target);
+    if (!position) return {};
+    const base::RegionIndex region = slots_.targets()[*position].target.region;
+    const std::uint32_t own = slots_.UsableSlots(*position, work_class, now);
+    return {.slots_left = slots_.CountUsableSlots(work_class, region, now) - own,
+            .slots_needed = health_.NeededSlots(region, work_class)};
+  }
+
   /// For each listed target why a request would not go there now. Valid until the next call.
   std::span<const Explanation> Explain(const Request& request, base::Instant now) {
     explanations_.clear();
@@ -196,6 +206,19 @@
 
   Lane& LaneOf(base::WorkClass work_class) { return lanes_[static_cast<std::size_t>(work_class)]; }
 
+  bool SetLeaving(base::TargetKey target, bool is_leaving, base::Instant now) {
+    const bool is_known = slots_.SetLeaving(target, is_leaving, now);
+    UpdateUsable(now);
+    return is_known;
+  }
+
+  void UpdateUsable(base::Instant now) {
+    slots_.UpdateUsable(now);
+    for (const auto work_class : {base::WorkClass::kShort, base::WorkClass::kLong}) {
+      LaneOf(work_class).load.SetUsableSlots(slots_.usable_slots(work_class));
+    }
+  }
+
   static std::span<const RegionPreference> RegionsOf(const Request& request) {
     return request.regions.first(std::min(request.regions.size(), kMaxPreferredRegions));
   }
@@ -230,7 +253,8 @@
         slots_.Refresh(chosen, request.work_class, now);
         continue;
       }
-      if (tier == Tier::kReserve && !IsWorthReserve(lane, chosen, position)) return std::nullopt;
+      if (tier == Tier::kReserve && !IsWorthReserve(request, chosen, position, now))
+        return std::nullopt;
       lane.load.OnTaken(*region, now);
       const Slot slot = slots_.Take(chosen, request.work_class, request.deadline, now);
       return Admitted{slot, slots_.targets()[chosen].target.key};
@@ -238,13 +262,20 @@
     return std::nullopt;
   }
 
-  /// A slow target is used only when the wait for another one would cost more than its slowness, or
-  /// when the queue fills up, since refusing is worse than slowness.
-  bool IsWorthReserve(const Lane& lane, TargetPosition chosen, std::size_t position) const {
-    if (lane.load.usable_slots() == 0 || lane.queue.size() > lane.queue.capacity() / 2) return true;
+  /// A slow target is used only when the wait for another one would cost more than its slowness,
+  /// when there is no other, or when the queue fills up, since refusing is worse than slowness.
+  bool IsWorthReserve(const Request& request, TargetPosition chosen, std::size_t position,
+                      base::Instant now) {
+    const Lane& lane = LaneOf(request.work_class);
+    if (lane.queue.size() > lane.queue.capacity() / 2) return true;
+    const auto regions = RegionsOf(request);
+    const bool has_other =
+        std::any_of(regions.begin(), regions.end(), [&](const RegionPreference& r) {
+          return slots_.HasUsableTarget(request.work_class, r.region, ExcludedOf(request), now);
+        });
     const float slowness = slots_.targets()[chosen].verdict.slowness;
     const double cost = (slowness - 1) * lane.load.ServiceTime().seconds();
-    return lane.load.ExpectedWait(position).seconds() > cost;
+    return !has_other || lane.load.ExpectedWait(position).seconds() > cost;
   }
 
   /// Draws a region with candidates in proportion to the weights, else the first in order.
--- a/src/admission/internal/slot_table.cc
+++ b/src/admission/internal/slot_table.cc
@@ -288,17 +288,10 @@
 bool SlotTable::HasOpenTarget(base::RegionIndex region,
                               std::span<const base::TargetKey> excluded) const {
   if (region.value >= open_targets_.size()) return false;
-  std::uint32_t n = open_targets_[region.value];
-  for (std::size_t i = 0; i < excluded.size(); ++i) {
-    const auto earlier = excluded.first(i);
-    if (std::find(earlier.begin(), earlier.end(), excluded[i]) != earlier.end()) continue;
-    const auto position = Find(excluded[i]);
-    if (!position) continue;
-    const TargetState& state = targets_[*position];
-    const bool is_counted = state.is_listed && !state.is_leaving && state.target.region == region;
-    if (is_counted) --n;
-  }
-  return n > 0;
+  return open_targets_[region.value] >
+         CountExcluded(region, excluded, [](const TargetState& state) {
+           return state.is_listed && !state.is_leaving;
+         });
 }
 
 bool SlotTable::HasAvailable(base::WorkClass work_class, Tier tier) const {
@@ -314,12 +307,47 @@
   return std::min(of_class.granted, state.ramp_limits[ClassIndex(work_class)]);
 }
 
-std::uint32_t SlotTable::CountUsableSlots(base::WorkClass work_class, base::Instant now) const {
+void SlotTable::UpdateUsable(base::Instant now) {
+  for (const auto work_class : kClasses) {
+    std::uint32_t slots = 0;
+    auto& counts = usable_targets_[ClassIndex(work_class)];
+    counts.assign(regions(), 0);
+    for (const TargetState& state : targets_) {
+      const std::uint16_t usable = UsableSlots(state, work_class, now);
+      slots += usable;
+      if (usable > 0) ++counts[state.target.region.value];
+    }
+    usable_slots_[ClassIndex(work_class)] = slots;
+  }
+}
+
+/// Counts the different excluded targets of a region that fulfil the condition.
+template <typename Condition>
+std::uint32_t SlotTable::CountExcluded(base::RegionIndex region,
+                                       std::span<const base::TargetKey> excluded,
+                                       Condition condition) const {
   std::uint32_t n = 0;
-  for (const TargetState& state : targets_) n += UsableSlots(state, work_class, now);
+  for (std::size_t i = 0; i < excluded.size(); ++i) {
+    const auto earlier = excluded.first(i);
+    if (std::find(earlier.begin(), earlier.end(), excluded[i]) != earlier.end()) continue;
+    const auto position = Find(excluded[i]);
+    if (!position) continue;
+    const TargetState& state = targets_[*position];
+    if (state.target.region == region && condition(state)) ++n;
+  }
   return n;
 }
 
+bool SlotTable::HasUsableTarget(base::WorkClass work_class, base::RegionIndex region,
+                                std::span<const base::TargetKey> excluded,
+                                base::Instant now) const {
+  const auto& counts = usable_targets_[ClassIndex(work_class)];
+  if (region.value >= counts.size()) return false;
+  return counts[region.value] > CountExcluded(region, excluded, [&](const TargetState& state) {
+           return UsableSlots(state, work_class, now) > 0;
+         });
+}
+
 std::uint16_t SlotTable::CountUsableSlots(base::WorkClass work_class, base::RegionIndex region,
                                           base::Instant now) const {
   std::uint16_t n = 0;
--- a/src/admission/pool_health.h
+++ b/src/admission/pool_health.h
@@ -21,6 +21,10 @@
   void Evaluate(SlotTable& slots, std::array<std::size_t, base::kWorkClasses> waiting,
                 base::Instant now);
 
+  float NeededSlots(base::RegionIndex region, base::WorkClass work_class) const {
+    return health_.NeededSlots(region, work_class);
+  }
+
  private:
   void ObserveOverdue(SlotTable& slots, base::Instant now);
   void FillMembers(const SlotTable& slots, base::Instant now);
--- a/src/admission/slot_table.h
+++ b/src/admission/slot_table.h
@@ -109,8 +109,19 @@
   bool HasOpenTarget(base::RegionIndex region, std::span<const base::TargetKey> excluded) const;
   /// True when some target of the class has a free slot (its grant may have expired since).
   bool HasAvailable(base::WorkClass work_class, Tier tier) const;
-  /// Slots in force on targets that may get work and are not in reserve, for estimates.
-  std::uint32_t CountUsableSlots(base::WorkClass work_class, base::Instant now) const;
+  /// Renews the counts of usable targets and slots: with a grant in force, not leaving, neither
+  /// ejected nor in reserve. Other operations leave them as they are.
+  void UpdateUsable(base::Instant now);
+  std::uint32_t usable_slots(base::WorkClass work_class) const {
+    return usable_slots_[static_cast<std::size_t>(work_class)];
+  }
+  /// True when a usable target of the region is not excluded, whether it has a free slot or not.
+  bool HasUsableTarget(base::WorkClass work_class, base::RegionIndex region,
+                       std::span<const base::TargetKey> excluded, base::Instant now) const;
+  std::uint16_t UsableSlots(TargetPosition position, base::WorkClass work_class,
+                            base::Instant now) const {
+    return UsableSlots(targets_[position], work_class, now);
+  }
   std::uint16_t CountUsableSlots(base::WorkClass work_class, base::RegionIndex region,
                                  base::Instant now) const;
   std::size_t regions() const { return available_[0][0].size(); }
@@ -129,6 +140,9 @@
   void FinishListing(base::Instant now);
   std::uint16_t UsableSlots(const TargetState& state, base::WorkClass work_class,
                             base::Instant now) const;
+  template <typename Condition>
+  std::uint32_t CountExcluded(base::RegionIndex region, std::span<const base::TargetKey> excluded,
+                              Condition condition) const;
   void ReserveSlots();
   void CountOpenTargets();
   bool IsAvailable(const TargetState& state, base::WorkClass work_class, base::Instant now) const;
@@ -147,6 +161,9 @@
   std::array<std::array<std::uint32_t, kTiers>, base::kWorkClasses> available_count_{};
   /// Listed targets that are not leaving, by region.
   std::vector<std::uint32_t> open_targets_;
+  std::array<std::uint32_t, base::kWorkClasses> usable_slots_{};
+  /// Usable targets by class and region.
+  std::array<std::vector<std::uint32_t>, base::kWorkClasses> usable_targets_;
   std::vector<SlotRecord> slots_;
   std::vector<std::uint32_t> free_slots_;
 };
--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -152,6 +152,16 @@
   std::uint16_t usable = 0;
 };
 
+/// What a planned stop of a target would leave of its region on this host.
+struct Headroom {
+  /// Usable slots of the other targets.
+  std::uint32_t slots_left = 0;
+  /// Slots that the present load needs.
+  float slots_needed = 0;
+
+  bool IsEnough() const { return static_cast<float>(slots_left) >= slots_needed; }
+};
+
 constexpr std::string_view Name(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kDeadlinePassed:
--- a/src/placement/internal/target_health.cc
+++ b/src/placement/internal/target_health.cc
@@ -92,6 +92,11 @@
   return static_cast<float>(settings_.ramp_start + (1 - settings_.ramp_start) * (1 - left));
 }
 
+float TargetHealth::NeededSlots(base::RegionIndex region, base::WorkClass work_class) const {
+  if (region.value >= regions_.size()) return 0;
+  return regions_[region.value].needed[static_cast<std::size_t>(work_class)];
+}
+
 Verdict TargetHealth::VerdictFor(std::uint32_t target, base::RegionIndex region,
                                  base::Instant now) const {
   const Record& record = targets_[target];
--- a/src/placement/target_health.h
+++ b/src/placement/target_health.h
@@ -81,6 +81,10 @@
   void Evaluate(std::span<const PoolMember> pool,
                 std::array<std::size_t, base::kWorkClasses> waiting, base::Instant now);
 
+  /// Slots of a region that its work needs when served at the pool's speed, as of the last
+  /// evaluation.
+  float NeededSlots(base::RegionIndex region, base::WorkClass work_class) const;
+
   Verdict VerdictFor(std::uint32_t target, base::RegionIndex region, base::Instant now) const;
 
  private:
