--- a/src/topology/tests/client_map_test.cc
+++ b/src/topology/tests/client_map_test.cc
@@ -36,6 +36,13 @@
   REQUIRE(RegionOf(map, "::ffff:10.1.2.3") == 3);
 }
 
+TEST_CASE("A block that ends with its upper half does not reach into the next one") {
+  const std::vector<ClientBlockText> blocks = {{"2001:db8::ffff:ffff:ffff:fff0/124", {{1}, {0}}}};
+  const ClientMap map{std::span<const ClientBlockText>(blocks)};
+  REQUIRE(RegionOf(map, "2001:db8::ffff:ffff:ffff:ffff") == 1);
+  REQUIRE(RegionOf(map, "2001:db8:0:1::") == std::nullopt);
+}
+
 TEST_CASE("Malformed blocks are refused by name") {
   for (const char* text : {"10.0.0.0", "10.0.0.1/8", "10.0.0.0/33", "010.0.0.0/8", "1.2.3/8",
                            "2001:db8::/129", "1:2:3:4:5:6:7::8:9/64", "::1::/64", ":1::/64",
