--- /dev/null
+++ b/src/http/internal/listener.cc
@@ -0,0 +1,214 @@
+// Adapter over cxxtools::http::Server; compiled as C++17.
+#include "http/internal/listener.h"
+
+#include <arpa/inet.h>
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/net/tcpsocket.h>
+#include <cxxtools/regex.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <istream>
+#include <ostream>
+#include <stdexcept>
+#include <system_error>
+#include <thread>
+
+namespace mangonotch::http::internal {
+namespace {
+
+/// Thrown from beginRequest: cxxtools then asks replyError for the answer and closes the connection
+/// without reading the body.
+class RefusedRequest : public std::runtime_error {
+ public:
+  explicit RefusedRequest(Refusal why) : std::runtime_error("request refused"), refusal(why) {}
+  Refusal refusal;
+};
+
+/// Holds a port of the system's choice until cxxtools has bound it. The socket never listens, so
+/// SO_REUSEADDR lets cxxtools bind the same port.
+class PortReservation {
+ public:
+  explicit PortReservation(const std::string& address) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in addr{};
+    addr.sin_family = AF_INET;
+    const int on = 1;
+    socklen_t n = sizeof addr;
+    if (inet_pton(AF_INET, address.c_str(), &addr.sin_addr) != 1 ||
+        setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        bind(fd_, reinterpret_cast<sockaddr*>(&addr), sizeof addr) != 0 ||
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&addr), &n) != 0) {
+      const int err = errno;
+      ::close(fd_);
+      throw std::system_error(err, std::generic_category(), "no free port on " + address);
+    }
+    port_ = ntohs(addr.sin_port);
+  }
+  PortReservation(const PortReservation&) = delete;
+  PortReservation& operator=(const PortReservation&) = delete;
+  ~PortReservation() { ::close(fd_); }
+  std::uint16_t port() const { return port_; }
+
+ private:
+  int fd_;
+  std::uint16_t port_ = 0;
+};
+
+RequestHead HeadOf(const cxxtools::http::Request& request) {
+  RequestHead head;
+  head.method = request.method();
+  head.path = request.url();
+  head.query = request.qparams();
+  head.version_major = request.header().httpVersionMajor();
+  head.version_minor = request.header().httpVersionMinor();
+  for (auto it = request.header().begin(); it != request.header().end(); ++it) {
+    head.headers.push_back({it->first, it->second});
+  }
+  return head;
+}
+
+void Write(const OutgoingResponse& response, std::ostream& out, cxxtools::http::Reply& reply) {
+  reply.httpReturn(response.status, response.reason);
+  for (const auto& [name, value] : response.headers) {
+    reply.addHeader(name.c_str(), value.c_str());
+  }
+  if (response.close) {
+    reply.setHeader("Connection", "close");
+  }
+  out << response.body;
+}
+
+class SinkResponder : public cxxtools::http::Responder {
+ public:
+  SinkResponder(cxxtools::http::Service& service, RequestSink& sink)
+      : Responder(service), sink_(sink) {}
+
+  void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& /*in*/,
+                    cxxtools::http::Request& request) override {
+    incoming_.body.clear();
+    incoming_.socket = socket.getFd();
+    incoming_.peer = socket.getPeerAddr();
+    const RequestHead head = HeadOf(request);
+    const Refusal refusal = sink_.CheckHead(head);
+    if (refusal != Refusal::kNone) {
+      throw RefusedRequest(refusal);
+    }
+    if (request.hasHeader("Expect")) {
+      // cxxtools never sends it, and a caller that asks for it would wait.
+      constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      ::send(incoming_.socket, kContinue.data(), kContinue.size(), MSG_NOSIGNAL);
+    }
+  }
+
+  std::size_t readBody(std::istream& in) override {
+    const auto n = in.rdbuf()->in_avail();
+    if (n <= 0) {
+      return 0;
+    }
+    const std::size_t before = incoming_.body.size();
+    incoming_.body.resize(before + static_cast<std::size_t>(n));
+    in.read(incoming_.body.data() + before, n);
+    return static_cast<std::size_t>(n);
+  }
+
+  void reply(std::ostream& out, cxxtools::http::Request& request,
+             cxxtools::http::Reply& reply) override {
+    incoming_.head = HeadOf(request);
+    Write(sink_.Handle(incoming_), out, reply);
+  }
+
+  void replyError(std::ostream& out, cxxtools::http::Request& /*request*/,
+                  cxxtools::http::Reply& reply, const std::exception& ex) override {
+    reply.clear();
+    const auto* refused = dynamic_cast<const RefusedRequest*>(&ex);
+    OutgoingResponse response;
+    if (refused != nullptr) {
+      response = sink_.Refuse(refused->refusal);
+    } else {
+      response.status = 500;
+      response.reason = "Internal Server Error";
+    }
+    response.close = true;
+    Write(response, out, reply);
+  }
+
+ private:
+  RequestSink& sink_;
+  IncomingRequest incoming_;
+};
+
+class SinkService : public cxxtools::http::Service {
+ public:
+  explicit SinkService(RequestSink& sink) : sink_(sink) {}
+
+ private:
+  cxxtools::http::Responder* createResponder(const cxxtools::http::Request& /*request*/) override {
+    return new SinkResponder(*this, sink_);
+  }
+  void releaseResponder(cxxtools::http::Responder* responder) override { delete responder; }
+
+  RequestSink& sink_;
+};
+
+}  // namespace
+
+class Listener::Impl {
+ public:
+  Impl(const ListenerSettings& settings, RequestSink& sink) : service_(sink) {
+    server_ = std::make_unique<cxxtools::http::Server>(loop_);
+    server_->minThreads(settings.threads < 4 ? settings.threads : 4);
+    server_->maxThreads(settings.threads);
+    server_->readTimeout(cxxtools::Milliseconds(settings.read_timeout_ms));
+    server_->writeTimeout(cxxtools::Milliseconds(settings.write_timeout_ms));
+    server_->keepAliveTimeout(cxxtools::Milliseconds(settings.idle_timeout_ms));
+    server_->addService(cxxtools::Regex(".*"), service_);
+    Listen(settings);
+    thread_ = std::thread([this] { loop_.run(); });
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+  ~Impl() { Stop(); }
+
+  std::uint16_t port() const { return port_; }
+
+  void Stop() {
+    if (thread_.joinable()) {
+      loop_.exit();
+      thread_.join();
+      server_.reset();
+    }
+  }
+
+ private:
+  void Listen(const ListenerSettings& settings) {
+    if (settings.port != 0) {
+      server_->listen(settings.address, settings.port);
+      port_ = settings.port;
+      return;
+    }
+    const PortReservation reservation(settings.address);
+    server_->listen(settings.address, reservation.port());
+    port_ = reservation.port();
+  }
+
+  cxxtools::EventLoop loop_;
+  SinkService service_;
+  std::unique_ptr<cxxtools::http::Server> server_;
+  std::uint16_t port_ = 0;
+  std::thread thread_;  // Runs loop_; the requests run on the threads of server_.
+};
+
+Listener::Listener(const ListenerSettings& settings, RequestSink& sink)
+    : impl_(std::make_unique<Impl>(settings, sink)) {}
+Listener::~Listener() = default;
+std::uint16_t Listener::port() const { return impl_->port(); }
+void Listener::Stop() { impl_->Stop(); }
+
+}  // namespace mangonotch::http::internal
--- /dev/null
+++ b/standins/common/token_bucket.h
@@ -0,0 +1,34 @@
+// Rate limit of a stand-in.
+#pragma once
+
+#include <algorithm>
+
+#include "base/instant.h"
+
+namespace mangonotch::standins {
+
+/// Allows `per_second` calls a second with bursts of as many; 0 allows all.
+class TokenBucket {
+ public:
+  explicit TokenBucket(double per_second) : per_second_(per_second), tokens_(per_second) {}
+
+  bool Take(base::Instant now) {
+    if (per_second_ <= 0) {
+      return true;
+    }
+    tokens_ = std::min(per_second_, tokens_ + (now - filled_).seconds() * per_second_);
+    filled_ = now;
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  double per_second_;
+  double tokens_;
+  base::Instant filled_;
+};
+
+}  // namespace mangonotch::standins
--- /dev/null
+++ b/standins/target/target_service.cc
@@ -0,0 +1,245 @@
+// A target over HTTP: work.
+#include "standins/target/target_service.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+#include "http/clock.h"
+#include "standins/common/parameters.h"
+#include "standins/common/raw_answer.h"
+
+namespace mangonotch::standins {
+namespace {
+
+constexpr std::int64_t kLongestMs = 600'000;
+
+bool TakeOne(std::int64_t& left) {
+  if (left <= 0) {
+    return false;
+  }
+  --left;
+  return true;
+}
+
+std::string RawHead(const http::Request& request, std::string_view framing) {
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  head.append("Request-Id: ").append(request.Header("Request-Id").value_or("")).append("\r\n");
+  return head.append(framing).append("\r\n");
+}
+
+std::string Chunk(std::string_view bytes) {
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  return std::string(size).append(bytes).append("\r\n");
+}
+
+}  // namespace
+
+TargetService::TargetService(TargetOptions options)
+    : options_(std::move(options)), cold_left_(options_.cold_requests) {}
+
+http::Response TargetService::Handle(const http::Request& request) {
+  const std::string_view path = request.path;
+  if (path == "/health") {
+    return Health();
+  }
+  if (path == "/load") {
+    return Load();
+  }
+  if (path == "/runs") {
+    return Runs(request);
+  }
+  if (path == "/counters") {
+    return Counters();
+  }
+  return path == "/fault" ? Fault(request) : Work(request);
+}
+
+http::Response TargetService::Work(const http::Request& request) {
+  const Job job = Begin(request);
+  if (job.entry != Entry::kRun) {
+    return Refuse(job);
+  }
+  const WorkEnd end = Run(request, job);
+  End(end);
+  if (end == WorkEnd::kDeadline) {
+    return Text(504, "deadline passed\n");
+  }
+  if (end == WorkEnd::kCancelled) {
+    return Text(503, "cancelled\n");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(job.late_ms));
+  return Answer(request, job);
+}
+
+TargetService::Job TargetService::Begin(const http::Request& request) {
+  const std::lock_guard lock(mutex_);
+  ++counters_.requests;
+  Job job;
+  job.draining = faults_.drain;
+  if (job.draining) {
+    NoteDrain(http::Now());
+  }
+  job.entry = Admit();
+  if (job.entry != Entry::kRun) {
+    return job;
+  }
+  job.spoil = NextSpoil();
+  job.service_ms = ServiceMs(request);
+  job.late_ms = faults_.delay_ms;
+  ++counters_.runs;
+  ++counters_.in_flight;
+  counters_.peak_in_flight = std::max(counters_.peak_in_flight, counters_.in_flight);
+  load_history_[http::Now()] = counters_.in_flight;
+  ++runs_[std::string(request.Header("Request-Id").value_or(""))];
+  return job;
+}
+
+void TargetService::NoteDrain(base::Instant now) {
+  ++counters_.while_draining;
+  counters_.last_after_drain_ms = (now - drain_since_).milliseconds();
+}
+
+TargetService::Entry TargetService::Admit() {
+  if (counters_.in_flight >= options_.slots) {
+    ++counters_.breaches;
+    return Entry::kBreach;
+  }
+  if (faults_.shed || (options_.shed_at != 0 && counters_.in_flight >= options_.shed_at)) {
+    ++counters_.shed;
+    return Entry::kShed;
+  }
+  const auto n = static_cast<std::int64_t>(counters_.requests);
+  const bool in_share = n * faults_.fail_percent / 100 != (n - 1) * faults_.fail_percent / 100;
+  if (TakeOne(faults_.fail) || in_share) {
+    ++counters_.failed;
+    return Entry::kFail;
+  }
+  return Entry::kRun;
+}
+
+TargetService::Spoil TargetService::NextSpoil() {
+  if (TakeOne(faults_.close_after_read)) {
+    return Spoil::kNoAnswer;
+  }
+  if (TakeOne(faults_.cut_body)) {
+    return Spoil::kCutBody;
+  }
+  if (TakeOne(faults_.cut_chunk)) {
+    return Spoil::kCutChunk;
+  }
+  if (TakeOne(faults_.end_by_close)) {
+    return Spoil::kEndByClose;
+  }
+  if (TakeOne(faults_.wrong_id)) {
+    return Spoil::kWrongId;
+  }
+  return faults_.chunked ? Spoil::kChunked : Spoil::kNone;
+}
+
+std::int64_t TargetService::ServiceMs(const http::Request& request) {
+  std::int64_t ms = request.Header("Work-Class") == "long" ? options_.long_ms : options_.short_ms;
+  std::size_t longest = 0;
+  for (const PathTime& path : options_.path_times) {
+    if (request.path.starts_with(path.prefix) && path.prefix.size() >= longest) {
+      longest = path.prefix.size();
+      ms = path.service_ms;
+    }
+  }
+  ms = IntegerHeader(request, "Service-Ms").value_or(ms);
+  if (cold_left_ > 0) {
+    ms += options_.cold_extra_ms * cold_left_ / options_.cold_requests;
+    --cold_left_;
+  }
+  if (request.Header("Connection") == "close") {
+    ms += options_.connection_ms;
+  }
+  return std::clamp<std::int64_t>(
+      static_cast<std::int64_t>(static_cast<double>(ms) * faults_.slow_factor), 0, kLongestMs);
+}
+
+TargetService::WorkEnd TargetService::Run(const http::Request& request, const Job& job) const {
+  const std::int64_t allowed = IntegerHeader(request, "Deadline-Ms").value_or(kLongestMs);
+  const base::Instant end =
+      http::Now() + base::Duration::Milliseconds(std::min(job.service_ms, allowed));
+  while (true) {
+    const auto left = (end - http::Now() + base::Duration::Nanoseconds(999'999)).milliseconds();
+    if (left <= 0) {
+      return allowed < job.service_ms ? WorkEnd::kDeadline : WorkEnd::kDone;
+    }
+    pollfd caller{request.caller_socket(), POLLRDHUP, 0};
+    if (poll(&caller, 1, static_cast<int>(left)) > 0) {
+      return WorkEnd::kCancelled;
+    }
+  }
+}
+
+void TargetService::End(WorkEnd end) {
+  const std::lock_guard lock(mutex_);
+  --counters_.in_flight;
+  load_history_[http::Now()] = counters_.in_flight;
+  switch (end) {
+    case WorkEnd::kDone:
+      ++counters_.completed;
+      break;
+    case WorkEnd::kCancelled:
+      ++counters_.cancelled;
+      break;
+    case WorkEnd::kDeadline:
+      ++counters_.deadline_passed;
+      break;
+  }
+}
+
+http::Response TargetService::Refuse(const Job& job) const {
+  if (job.entry == Entry::kFail) {
+    return Text(500, "failed\n");
+  }
+  http::Response response =
+      Text(503, job.entry == Entry::kBreach ? "more than its slots\n" : "shed\n");
+  response.headers.Add("Retry-After", "1");
+  return response;
+}
+
+http::Response TargetService::Answer(const http::Request& request, const Job& job) {
+  const auto bytes = IntegerHeader(request, "Answer-Bytes").value_or(options_.answer_bytes);
+  const std::string body(static_cast<std::size_t>(std::clamp<std::int64_t>(bytes, 2, 16 << 20)),
+                         'x');
+  const std::string_view half = std::string_view(body).substr(0, body.size() / 2);
+  const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  constexpr std::string_view kChunked = "Transfer-Encoding: chunked\r\n";
+  switch (job.spoil) {
+    case Spoil::kNoAnswer:
+      DropCaller(request);
+      break;
+    case Spoil::kCutBody:
+      AnswerRaw(request, RawHead(request, length).append(half));
+      break;
+    case Spoil::kCutChunk:
+      AnswerRaw(request, RawHead(request, kChunked) + Chunk(half) + Chunk(half).substr(0, 3));
+      break;
+    case Spoil::kEndByClose:
+      AnswerRaw(request, RawHead(request, "Connection: close\r\n").append(body));
+      break;
+    case Spoil::kChunked:
+      AnswerRaw(request, RawHead(request, std::string(kChunked) + "Connection: close\r\n") +
+                             Chunk(half) + Chunk(half) + "0\r\n\r\n");
+      break;
+    case Spoil::kWrongId:
+    case Spoil::kNone:
+      break;
+  }
+  http::Response response = Text(200, body);
+  const std::string_view id = request.Header("Request-Id").value_or("");
+  response.headers.Add("Request-Id", job.spoil == Spoil::kWrongId ? "of-another-request" : id);
+  if (job.draining) {
+    response.headers.Add("Draining", "1");
+    response.headers.Add("Connection", "close");
+  }
+  return response;
+}
+
+}  // namespace mangonotch::standins
