--- a/src/ticket/tests/register_property_test.cc
+++ b/src/ticket/tests/register_property_test.cc
@@ -183,7 +183,7 @@
   std::size_t not_runs = 0;
   REQUIRE(rc::check([&] {
     History history;
-    const int steps = *rc::gen::inRange(20, 120);
+    const int steps = *rc::gen::inRange(200, 400);
     for (int i = 0; i < steps; ++i) {
       history.Step();
       history.Check();
