--- /dev/null
+++ b/src/wire/internal/table_frame.h
@@ -0,0 +1,35 @@
+// The frames of a table pull: a request {byte order, magic, version} and an answer {byte order,
+// magic, version, revision, length} that the text follows.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+#include "base/ids.h"
+
+namespace mangonotch::wire::internal {
+
+inline constexpr std::size_t kPullRequestBytes = 1 + 4 + 2;
+inline constexpr std::size_t kPullHeadBytes = 1 + 4 + 2 + 8 + 4;
+
+using PullRequest = std::array<std::byte, kPullRequestBytes>;
+using PullHeadFrame = std::array<std::byte, kPullHeadBytes>;
+
+struct PullHead {
+  base::Revision revision = 0;
+  /// Bytes of text that follow.
+  std::uint32_t length = 0;
+};
+
+PullRequest EncodePullRequest();
+PullHeadFrame EncodePullHead(const PullHead& head);
+
+/// True for exactly the bytes of EncodePullRequest.
+bool IsPullRequest(std::span<const std::byte, kPullRequestBytes> bytes);
+
+/// Throws DecodeError, also for a length over kMaxTableBytes.
+PullHead DecodePullHead(std::span<const std::byte, kPullHeadBytes> bytes);
+
+}  // namespace mangonotch::wire::internal
