--- /dev/null
+++ b/src/control/internal/steering_table.cc
@@ -0,0 +1,158 @@
+// Implementation of control::SteeringTable.
+#include "control/steering_table.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace mangonotch::control {
+namespace {
+
+constexpr std::uint32_t kFullWeight = 1000;
+
+template <typename Items>
+std::optional<std::uint32_t> FindByName(const Items& items, std::string_view name) {
+  const auto it = std::find_if(items.begin(), items.end(),
+                               [&](const auto& item) { return item.name == name; });
+  if (it == items.end()) return std::nullopt;
+  return static_cast<std::uint32_t>(it - items.begin());
+}
+
+const table::ServiceRegion* RegionEntry(const table::Service& service, base::RegionIndex region) {
+  const auto it = std::find_if(service.regions.begin(), service.regions.end(),
+                               [&](const auto& entry) { return entry.region == region; });
+  return it == service.regions.end() ? nullptr : &*it;
+}
+
+std::uint32_t RegionWeight(const table::Service& service, base::RegionIndex region) {
+  const auto* entry = RegionEntry(service, region);
+  return entry == nullptr ? 0 : entry->weight;
+}
+
+std::uint32_t ZoneWeight(const table::Service& service, base::ZoneIndex zone) {
+  const auto it = std::find_if(service.zones.begin(), service.zones.end(),
+                               [&](const auto& entry) { return entry.zone == zone; });
+  return it == service.zones.end() ? kFullWeight : it->weight;
+}
+
+std::vector<topology::ClientBlock> ClientBlocks(const table::Table& table) {
+  std::vector<topology::ClientBlock> blocks;
+  blocks.reserve(table.clients.size());
+  for (const table::ClientBlock& it : table.clients) {
+    const auto prefix = topology::ParsePrefix(it.block);
+    if (prefix) blocks.push_back({*prefix, {it.region, it.zone}});
+  }
+  return blocks;
+}
+
+/// Spreads `percent` of the region's slots over its targets, one slot a target in turn.
+std::vector<std::uint16_t> LongSlots(std::span<const table::Target* const> targets,
+                                     std::uint32_t percent) {
+  std::uint32_t all = 0;
+  for (const auto* it : targets) all += it->slots;
+  std::uint32_t left = all * percent / 100;
+  // A service that allows long work at all can run one at a time in each region.
+  if (percent > 0 && left == 0 && all > 1) left = 1;
+  std::vector<std::uint16_t> out(targets.size(), 0);
+  while (left > 0) {
+    const std::uint32_t before = left;
+    for (std::size_t i = 0; i < targets.size() && left > 0; ++i) {
+      if (out[i] >= targets[i]->slots) continue;
+      ++out[i];
+      --left;
+    }
+    if (left == before) break;
+  }
+  return out;
+}
+
+}  // namespace
+
+SteeringTable::SteeringTable(table::Table table, std::string text)
+    : table_(std::move(table)), text_(std::move(text)), clients_(ClientBlocks(table_)) {
+  for (const table::Service& service : table_.services) {
+    PrepareTargets(service);
+    PreparePreferences(service);
+  }
+}
+
+void SteeringTable::PrepareTargets(const table::Service& service) {
+  const base::ServiceIndex index{static_cast<std::uint32_t>(targets_.size())};
+  std::vector<admission::Target> usable;
+  for (std::uint32_t r = 0; r < table_.regions.size(); ++r) {
+    const base::RegionIndex region{r};
+    std::vector<const table::Target*> targets;
+    for (const table::Target& it : service.targets) {
+      if (table_.RegionOf(it.zone) == region) targets.push_back(&it);
+    }
+    const auto long_slots = LongSlots(targets, service.long_slot_percent);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      const table::Target& target = *targets[i];
+      places_[target.key.value] = {.service = index,
+                                   .region = region,
+                                   .zone = target.zone,
+                                   .address = target.address,
+                                   .short_slots =
+                                       static_cast<std::uint16_t>(target.slots - long_slots[i]),
+                                   .long_slots = long_slots[i]};
+      target_keys_.push_back(target.key);
+      const std::uint32_t weight = target.weight * ZoneWeight(service, target.zone);
+      if (weight == 0 || RegionWeight(service, region) == 0) continue;
+      usable.push_back(
+          {.key = target.key, .region = region, .zone = target.zone, .weight = weight});
+    }
+  }
+  targets_.push_back(std::move(usable));
+}
+
+void SteeringTable::PreparePreferences(const table::Service& service) {
+  std::uint32_t highest = 0;
+  for (const auto& it : service.regions) highest = std::max(highest, it.weight);
+  std::vector<std::vector<admission::RegionPreference>> by_home;
+  for (std::uint32_t h = 0; h < table_.regions.size(); ++h) {
+    const base::RegionIndex home{h};
+    const std::uint32_t home_weight = RegionWeight(service, home);
+    const std::uint32_t kept = highest == 0 ? 0 : kFullWeight * home_weight / highest;
+    std::uint64_t others = 0;
+    for (const auto& it : service.regions) others += it.region == home ? 0 : it.weight;
+    std::vector<admission::RegionPreference> list;
+    for (const auto& it : service.regions) {
+      if (it.weight == 0) continue;
+      const auto moved =
+          others == 0 ? 0
+                      : static_cast<std::uint32_t>((kFullWeight - kept) * it.weight / others);
+      list.push_back({it.region, it.region == home ? kept : moved});
+    }
+    const auto& distance = table_.regions[h].distance_ms;
+    std::stable_sort(list.begin(), list.end(), [&](const auto& a, const auto& b) {
+      const auto rank = [&](const auto& x) {
+        return std::tuple(x.region != home, distance[x.region.value]);
+      };
+      return rank(a) < rank(b);
+    });
+    by_home.push_back(std::move(list));
+  }
+  preferences_.push_back(std::move(by_home));
+}
+
+std::optional<base::ServiceIndex> SteeringTable::FindService(std::string_view name) const {
+  const auto n = FindByName(table_.services, name);
+  return n ? std::optional(base::ServiceIndex{*n}) : std::nullopt;
+}
+
+std::optional<base::RegionIndex> SteeringTable::FindRegion(std::string_view name) const {
+  const auto n = FindByName(table_.regions, name);
+  return n ? std::optional(base::RegionIndex{*n}) : std::nullopt;
+}
+
+std::optional<base::ZoneIndex> SteeringTable::FindZone(std::string_view name) const {
+  const auto n = FindByName(table_.zones, name);
+  return n ? std::optional(base::ZoneIndex{*n}) : std::nullopt;
+}
+
+const TargetPlace* SteeringTable::FindTarget(base::TargetKey key) const {
+  const auto it = places_.find(key.value);
+  return it == places_.end() ? nullptr : &it->second;
+}
+
+}  // namespace mangonotch::control
--- /dev/null
+++ b/src/control/steering_table.h
@@ -0,0 +1,80 @@
+// One table revision prepared for decisions: lookups by name and key, client blocks, and the order of regions for each
+// home region. Built once per revision, then read only.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/types.h"
+#include "base/ids.h"
+#include "table/table.h"
+#include "topology/client_map.h"
+
+namespace mangonotch::control {
+
+/// A target with the names that shells need to reach it and to explain decisions.
+struct TargetPlace {
+  base::ServiceIndex service;
+  base::RegionIndex region;
+  base::ZoneIndex zone;
+  std::string address;
+  /// Slots of each class after the service's split.
+  std::uint16_t short_slots = 0;
+  std::uint16_t long_slots = 0;
+};
+
+class SteeringTable {
+ public:
+  /// Takes a table that has passed its checks; `text` is what peers pull.
+  SteeringTable(table::Table table, std::string text);
+
+  const table::Table& table() const { return table_; }
+  const std::string& text() const { return text_; }
+  base::Revision revision() const { return table_.revision; }
+
+  std::optional<base::ServiceIndex> FindService(std::string_view name) const;
+  std::optional<base::RegionIndex> FindRegion(std::string_view name) const;
+  std::optional<base::ZoneIndex> FindZone(std::string_view name) const;
+  const TargetPlace* FindTarget(base::TargetKey key) const;
+  const table::Service& ServiceAt(base::ServiceIndex service) const {
+    return table_.services[service.value];
+  }
+  /// Targets of a service with a weight above 0 in zones and regions with a weight above 0.
+  std::span<const admission::Target> TargetsOf(base::ServiceIndex service) const {
+    return targets_[service.value];
+  }
+  /// Regions that may serve a caller whose home is `home`, as the gate expects them. A home region whose weight is the
+  /// highest keeps all its work; a lower weight moves the difference to the others in proportion to their weights.
+  std::span<const admission::RegionPreference> PreferencesOf(base::ServiceIndex service,
+                                                             base::RegionIndex home) const {
+    return preferences_[service.value][home.value];
+  }
+  std::span<const std::uint32_t> DistancesFrom(base::RegionIndex region) const {
+    return table_.regions[region.value].distance_ms;
+  }
+  const topology::ClientMap& clients() const { return clients_; }
+  std::span<const base::TargetKey> target_keys() const { return target_keys_; }
+
+ private:
+  void PrepareTargets(const table::Service& service);
+  void PreparePreferences(const table::Service& service);
+
+  table::Table table_;
+  std::string text_;
+  topology::ClientMap clients_;
+  std::vector<std::vector<admission::Target>> targets_;
+  /// By service, then home region.
+  std::vector<std::vector<std::vector<admission::RegionPreference>>> preferences_;
+  std::unordered_map<std::uint64_t, TargetPlace> places_;
+  std::vector<base::TargetKey> target_keys_;
+};
+
+using SteeringTablePtr = std::shared_ptr<const SteeringTable>;
+
+}  // namespace mangonotch::control
--- /dev/null
+++ b/src/traffic/internal/service_gate.cc
@@ -0,0 +1,72 @@
+// Implementation of traffic::ServiceGate.
+#include "traffic/service_gate.h"
+
+#include <chrono>
+
+#include "http/clock.h"
+
+namespace mangonotch::traffic {
+namespace {
+
+// How often a waiting thread looks whether its caller is gone. A caller that leaves gives its place in the queue back
+// within this time.
+constexpr auto kCallerCheckInterval = std::chrono::milliseconds(50);
+
+AcquireResult Widen(const std::variant<admission::Admitted, admission::Refused>& result) {
+  return std::visit([](const auto& it) { return AcquireResult(it); }, result);
+}
+
+}  // namespace
+
+base::Instant ServiceGate::Now() { return http::Now(); }
+
+AcquireResult ServiceGate::Acquire(const admission::Request& request,
+                                   const std::function<bool()>& is_caller_gone,
+                                   const std::function<void()>& on_wait) {
+  std::unique_lock lock(mutex_);
+  const admission::Decision decision = gate_.Admit(request, Now());
+  if (const auto* it = std::get_if<admission::Admitted>(&decision)) return *it;
+  if (const auto* it = std::get_if<admission::Refused>(&decision)) return *it;
+
+  const admission::WaiterId id = std::get<admission::Waiting>(decision).waiter;
+  Waiter waiter;
+  waiters_.emplace(id, &waiter);
+  lock.unlock();
+  on_wait();
+  lock.lock();
+  while (!waiter.result) {
+    waiter.wake.wait_for(lock, kCallerCheckInterval);
+    if (waiter.result) break;
+    if (is_caller_gone()) {
+      gate_.Cancel(id);
+      waiters_.erase(id);
+      return CallerGone{};
+    }
+    Deliver(Now());
+  }
+  waiters_.erase(id);
+  return Widen(*waiter.result);
+}
+
+void ServiceGate::Complete(admission::Slot slot, const admission::Outcome& outcome) {
+  const std::lock_guard lock(mutex_);
+  const base::Instant now = Now();
+  gate_.Complete(slot, outcome, now);
+  Deliver(now);
+}
+
+admission::RecheckResult ServiceGate::Recheck(admission::Slot slot) {
+  const std::lock_guard lock(mutex_);
+  return gate_.Recheck(slot, Now());
+}
+
+void ServiceGate::Deliver(base::Instant now) {
+  for (const admission::Ready& ready : gate_.TakeReady(now)) {
+    const auto it = waiters_.find(ready.waiter);
+    if (it == waiters_.end()) continue;
+    it->second->result = ready.result;
+    it->second->wake.notify_one();
+  }
+}
+
+}  // namespace mangonotch::traffic
--- /dev/null
+++ b/src/traffic/service_gate.h
@@ -0,0 +1,67 @@
+// The gate of one service, shared by the traffic threads and the control thread: a mutex round the core gate, and the
+// threads that wait for a slot.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <unordered_map>
+#include <variant>
+
+#include "admission/gate.h"
+#include "base/instant.h"
+#include "placement/weighted_two_choices.h"
+
+namespace mangonotch::traffic {
+
+/// The caller closed its connection before a slot was free.
+struct CallerGone {};
+using AcquireResult = std::variant<admission::Admitted, admission::Refused, CallerGone>;
+
+class ServiceGate {
+ public:
+  using Gate = admission::Gate<placement::WeightedTwoChoices>;
+
+  explicit ServiceGate(const Gate::Settings& settings) : gate_(settings) {}
+
+  /// Blocks until the request has a slot, is refused, or `is_caller_gone` returns true. `on_wait` is called once, with
+  /// the gate unlocked, when the request has to wait.
+  AcquireResult Acquire(const admission::Request& request,
+                        const std::function<bool()>& is_caller_gone,
+                        const std::function<void()>& on_wait);
+  void Complete(admission::Slot slot, const admission::Outcome& outcome);
+  admission::RecheckResult Recheck(admission::Slot slot);
+
+  /// Runs `change(gate, now)` under the lock, then wakes the waiters that it set free.
+  template <typename Change>
+  auto Update(Change change) {
+    const std::lock_guard lock(mutex_);
+    const base::Instant now = Now();
+    if constexpr (std::is_void_v<decltype(change(gate_, now))>) {
+      change(gate_, now);
+      Deliver(now);
+    } else {
+      auto result = change(gate_, now);
+      Deliver(now);
+      return result;
+    }
+  }
+
+ private:
+  struct Waiter {
+    std::condition_variable wake;
+    std::optional<std::variant<admission::Admitted, admission::Refused>> result;
+  };
+
+  static base::Instant Now();
+  /// Hands their results to the waiters that are ready. The lock is held.
+  void Deliver(base::Instant now);
+
+  std::mutex mutex_;
+  // All below are guarded by mutex_.
+  Gate gate_;
+  /// Threads that wait, by the gate's identifier; each entry lives on its thread's stack.
+  std::unordered_map<admission::WaiterId, Waiter*> waiters_;
+};
+
+}  // namespace mangonotch::traffic
