Add the core of region shares, membership and moved work

Heartbeats gain the field `applied`: the coordinator needs to know which of its replies the reported holdings take into account, or a grant in flight would be counted as given back.

--- /dev/null
+++ b/src/membership/internal/leaving_targets.cc
@@ -0,0 +1,84 @@
+#include "membership/leaving_targets.h"
+
+#include <algorithm>
+
+namespace mangonotch::membership {
+
+bool LeavingTargets::Mark(State& state, base::Instant now) {
+  state.clear_from = now + kSettle;
+  state.seen_until = now + kSettle;
+  if (state.leaving) {
+    return false;
+  }
+  state.leaving = true;
+  ++state.generation;
+  return true;
+}
+
+bool LeavingTargets::OnLeaving(base::TargetKey target, base::Instant now) {
+  return Mark(states_[target], now);
+}
+
+bool LeavingTargets::OnHealthReport(base::TargetKey target, bool leaving, base::Instant asked_at,
+                                    base::Instant now) {
+  if (leaving) {
+    return Mark(states_[target], now);
+  }
+  const auto it = states_.find(target);
+  if (it == states_.end() || !it->second.leaving || asked_at < it->second.clear_from) {
+    return false;
+  }
+  it->second.leaving = false;
+  ++it->second.generation;
+  return true;
+}
+
+bool LeavingTargets::OnMarks(std::span<const LeavingMark> marks, base::Instant now) {
+  bool is_changed = false;
+  for (const LeavingMark& it : marks) {
+    is_changed = Merge(states_[it.target], it, now) || is_changed;
+  }
+  return is_changed;
+}
+
+bool LeavingTargets::Merge(State& state, const LeavingMark& mark, base::Instant now) {
+  // Of two marks with one generation the leaving one counts, so that all hosts agree.
+  const bool is_newer = mark.generation > state.generation ||
+                        (mark.generation == state.generation && mark.leaving && !state.leaving);
+  if (!is_newer) {
+    return false;
+  }
+  if (state.leaving && !mark.leaving && now < state.seen_until) {
+    state.generation = mark.generation + 1;
+    return true;
+  }
+  if (mark.leaving && !state.leaving) {
+    state.clear_from = now + kSettle;
+  }
+  state.leaving = mark.leaving;
+  state.generation = mark.generation;
+  return true;
+}
+
+bool LeavingTargets::IsLeaving(base::TargetKey target) const {
+  const auto it = states_.find(target);
+  return it != states_.end() && it->second.leaving;
+}
+
+std::vector<LeavingMark> LeavingTargets::Marks() const {
+  std::vector<LeavingMark> marks;
+  for (const auto& [target, state] : states_) {
+    if (state.generation > 0) {
+      marks.push_back({target, state.leaving, state.generation});
+    }
+  }
+  return marks;
+}
+
+void LeavingTargets::Retain(std::span<const base::TargetKey> targets) {
+  std::erase_if(states_, [&](const auto& it) {
+    return std::find(targets.begin(), targets.end(), it.first) == targets.end();
+  });
+}
+
+}  // namespace mangonotch::membership
--- /dev/null
+++ b/src/shares/internal/coordinator_lease.cc
@@ -0,0 +1,383 @@
+#include "shares/coordinator_lease.h"
+
+#include <algorithm>
+
+namespace mangonotch::shares {
+
+namespace {
+
+/// A host of lower rank waits longer before it creates a missing record, so that few hosts collide.
+constexpr base::Duration kCreateStep = base::Duration::Seconds(1);
+
+bool Contains(std::span<const membership::HostRef> hosts, const membership::HostRef& host) {
+  return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
+}  // namespace
+
+CoordinatorLease::CoordinatorLease(LeaseSettings settings, base::Instant now)
+    : settings_(std::move(settings)),
+      next_read_(now),
+      next_write_(now),
+      term_until_(now),
+      outage_until_(now),
+      silent_at_(now + settings_.holder_silence),
+      created_at_(now) {
+  newest_.push_back(settings_.self);
+}
+
+base::Instant CoordinatorLease::hold_until() const {
+  if (!OwnsRecord() || stopped_) {
+    return base::Instant();
+  }
+  base::Instant covered = outage_until_;
+  for (const Standby& it : standbys_) {
+    covered = std::min(covered, it.covered_until);
+  }
+  return std::max(term_until_, covered);
+}
+
+bool CoordinatorLease::IsGrantee(const membership::HostRef& host) const {
+  return record_ && Contains(record_->grantees, host) &&
+         std::all_of(attempts_.begin(), attempts_.end(),
+                     [&](const Attempt& it) { return Contains(it.record.grantees, host); });
+}
+
+bool CoordinatorLease::IsNamedStandby() const {
+  return record_ && Contains(record_->standbys, settings_.self);
+}
+
+bool CoordinatorLease::IsGone(const membership::HostRef& host) const {
+  return std::any_of(newest_.begin(), newest_.end(), [&](const membership::HostRef& it) {
+    return it.peer_address == host.peer_address && it.incarnation != host.incarnation;
+  });
+}
+
+LeaseDecisions CoordinatorLease::Tick(base::Instant now) {
+  LeaseDecisions out;
+  if (stopped_) {
+    return out;
+  }
+  if (OwnsRecord()) {
+    TickHolder(now, out);
+  } else {
+    TickOther(now, out);
+  }
+  return out;
+}
+
+void CoordinatorLease::TickHolder(base::Instant now, LeaseDecisions& out) {
+  if (now >= ask_promises_at_) {
+    AskPromises(now, out);
+  }
+  if (write_in_progress_ || read_in_progress_) {
+    return;
+  }
+  if (must_read_) {
+    if (now >= next_read_) {
+      Read(now, out);
+    }
+  } else if (now >= next_write_) {
+    Write(RenewedRecord(), now, out);
+  }
+}
+
+void CoordinatorLease::TickOther(base::Instant now, LeaseDecisions& out) {
+  if (write_in_progress_ || read_in_progress_) {
+    return;
+  }
+  if (record_known_ && !must_read_ && now >= next_write_ && (MayTakeOver(now) || MayCreate(now))) {
+    Write(TakeoverRecord(), now, out);
+    return;
+  }
+  const bool is_silent = now >= silent_at_;
+  if (now >= next_read_ && (must_read_ || is_silent)) {
+    Read(now, out);
+  }
+}
+
+bool CoordinatorLease::MayTakeOver(base::Instant now) const {
+  if (!record_ || now < promised_until_ || now < silent_at_) {
+    return false;
+  }
+  if (IsNamedStandby()) {
+    return now >= unchanged_since_ + kTerm + kMargin;
+  }
+  return IsRecordAbandoned(now);
+}
+
+bool CoordinatorLease::IsRecordAbandoned(base::Instant now) const {
+  if (now >= unchanged_since_ + settings_.store_outage_limit + kTerm + kMargin) {
+    return true;
+  }
+  return IsGone(record_->holder) &&
+         std::all_of(record_->standbys.begin(), record_->standbys.end(),
+                     [this](const membership::HostRef& it) { return IsGone(it); });
+}
+
+bool CoordinatorLease::MayCreate(base::Instant now) const {
+  if (record_) {
+    return false;
+  }
+  const auto it = std::find_if(candidates_.begin(), candidates_.end(),
+                               [this](const Candidate& c) { return c.ref == settings_.self; });
+  const auto rank = static_cast<std::int64_t>(it - candidates_.begin());
+  return it != candidates_.end() && now >= created_at_ + kCreateStep * rank;
+}
+
+void CoordinatorLease::Read(base::Instant now, LeaseDecisions& out) {
+  read_in_progress_ = true;
+  const bool is_frequent = OwnsRecord() || IsNamedStandby() || !attempts_.empty() || !record_known_;
+  next_read_ = now + (is_frequent ? kStandbyReadInterval : kOtherReadInterval);
+  out.emplace_back(ReadRecord{});
+}
+
+void CoordinatorLease::Write(RegionRecord record, base::Instant now, LeaseDecisions& out) {
+  write_in_progress_ = true;
+  next_write_ = now + kRenewInterval;
+  if (OwnsRecord()) {
+    CountStandbys(record, now + kTerm);
+  }
+  attempts_.push_back({record, version_, now});
+  out.emplace_back(WriteRecord{std::move(record), version_});
+}
+
+std::uint64_t CoordinatorLease::NextRenewal() const {
+  std::uint64_t renewal = record_ ? record_->renewal : 0;
+  for (const Attempt& it : attempts_) {
+    renewal = std::max(renewal, it.record.renewal);
+  }
+  return renewal + 1;
+}
+
+std::vector<membership::HostRef> CoordinatorLease::ChooseStandbys() const {
+  std::vector<membership::HostRef> chosen;
+  for (const bool other_zone : {true, false}) {
+    for (const Candidate& it : candidates_) {
+      const bool is_match = (it.zone != settings_.zone) == other_zone;
+      if (is_match && chosen.size() < kMaxStandbys && it.ref != settings_.self && !IsGone(it.ref)) {
+        chosen.push_back(it.ref);
+      }
+    }
+  }
+  return chosen;
+}
+
+RegionRecord CoordinatorLease::RenewedRecord() const {
+  RegionRecord record = *record_;
+  // Standbys change only with a store that answers: an unanswered change would add to the hosts
+  // whose promises are needed.
+  if (attempts_.empty()) {
+    record.standbys = ChooseStandbys();
+    record.grantees = grantees_;
+  } else {
+    record.standbys = attempts_.back().record.standbys;
+    record.grantees = attempts_.back().record.grantees;
+  }
+  record.renewal = NextRenewal();
+  return record;
+}
+
+RegionRecord CoordinatorLease::TakeoverRecord() const {
+  RegionRecord record;
+  record.epoch = epoch() + 1;
+  record.holder = settings_.self;
+  record.standbys = ChooseStandbys();
+  if (record_) {
+    // The new ledger waits for them; it drops them once they surely hold nothing.
+    record.grantees = record_->grantees;
+  }
+  record.renewal = NextRenewal();
+  return record;
+}
+
+void CoordinatorLease::CountStandbys(const RegionRecord& record, base::Instant covered_until) {
+  for (const membership::HostRef& it : record.standbys) {
+    const bool is_known = std::any_of(standbys_.begin(), standbys_.end(),
+                                      [&](const Standby& s) { return s.ref == it; });
+    if (!is_known) {
+      standbys_.push_back({it, IsGone(it) ? base::Instant::Never() : covered_until});
+    }
+  }
+}
+
+LeaseDecisions CoordinatorLease::OnWriteDone(WriteResult result, std::uint64_t version,
+                                             base::Instant now) {
+  write_in_progress_ = false;
+  if (attempts_.empty()) {
+    return Tick(now);
+  }
+  if (result == WriteResult::kAccepted) {
+    const Attempt attempt = attempts_.back();
+    Confirm(attempt, version);
+    return Tick(now);
+  }
+  must_read_ = true;
+  if (result == WriteResult::kConflict) {
+    next_read_ = now;
+  }
+  return Tick(now);
+}
+
+void CoordinatorLease::Confirm(const Attempt& attempt, std::uint64_t version) {
+  if (acting_epoch_ != attempt.record.epoch) {
+    acting_epoch_ = attempt.record.epoch;
+    inherited_ = attempt.record.grantees;
+    grantees_ = inherited_;
+    took_over_at_ = attempt.sent;
+    standbys_.clear();
+    rounds_.clear();
+  }
+  record_ = attempt.record;
+  version_ = version;
+  record_known_ = true;
+  unchanged_since_ = attempt.sent;
+  term_until_ = attempt.sent + kTerm;
+  outage_until_ = attempt.sent + settings_.store_outage_limit;
+  ask_promises_at_ = attempt.sent + kPromiseAfter;
+  next_write_ = attempt.sent + kRenewInterval;
+  must_read_ = false;
+  attempts_.clear();
+  std::erase_if(standbys_,
+                [this](const Standby& it) { return !Contains(record_->standbys, it.ref); });
+  CountStandbys(*record_, term_until_);
+}
+
+LeaseDecisions CoordinatorLease::OnRecordRead(const std::optional<RegionRecord>& record,
+                                              std::uint64_t version, base::Instant now) {
+  read_in_progress_ = false;
+  // A read that overlaps a write may be older than it, and a store may answer with a stale value.
+  if (write_in_progress_ || (record_known_ && version < version_)) {
+    return Tick(now);
+  }
+  if (record_known_ && version == version_) {
+    must_read_ = false;
+    return Tick(now);
+  }
+  const auto it = std::find_if(attempts_.begin(), attempts_.end(), [&](const Attempt& a) {
+    return record && record->epoch == a.record.epoch && record->holder == a.record.holder &&
+           record->renewal == a.record.renewal;
+  });
+  if (it != attempts_.end()) {
+    const Attempt attempt = *it;
+    Confirm(attempt, version);
+  } else {
+    AdoptForeign(record, version, now);
+  }
+  return Tick(now);
+}
+
+void CoordinatorLease::AdoptForeign(const std::optional<RegionRecord>& record,
+                                    std::uint64_t version, base::Instant now) {
+  record_ = record;
+  version_ = version;
+  record_known_ = true;
+  unchanged_since_ = now;
+  attempts_.clear();
+  must_read_ = false;
+  next_write_ = now;
+  standbys_.clear();
+  rounds_.clear();
+  inherited_.clear();
+  term_until_ = base::Instant();
+  outage_until_ = base::Instant();
+  ask_promises_at_ = base::Instant::Never();
+}
+
+LeaseDecisions CoordinatorLease::OnReadFailed(base::Instant now) {
+  read_in_progress_ = false;
+  return Tick(now);
+}
+
+void CoordinatorLease::AskPromises(base::Instant now, LeaseDecisions& out) {
+  if (!IsHolder(now)) {
+    return;
+  }
+  ask_promises_at_ = now + kPromiseInterval;
+  ++promise_sequence_;
+  rounds_.push_back({promise_sequence_, now});
+  std::erase_if(rounds_, [&](const PromiseRound& it) { return it.sent + kPromiseTerm <= now; });
+  for (const Standby& it : standbys_) {
+    if (it.covered_until != base::Instant::Never()) {
+      PromiseRequest request{settings_.self, settings_.region, epoch(), promise_sequence_};
+      out.emplace_back(SendPromiseRequest{it.ref, std::move(request)});
+    }
+  }
+}
+
+std::optional<Promise> CoordinatorLease::OnPromiseRequest(const PromiseRequest& request,
+                                                          base::Instant now) {
+  const bool may_take_effect = write_in_progress_ || !attempts_.empty();
+  if (request.region != settings_.region || request.epoch < epoch() || OwnsRecord() ||
+      may_take_effect) {
+    return std::nullopt;
+  }
+  promised_until_ = std::max(promised_until_, now + kPromiseTerm + kMargin);
+  return Promise{settings_.self, settings_.region, request.epoch, request.sequence, stopped_};
+}
+
+void CoordinatorLease::OnPromise(const Promise& promise, base::Instant now) {
+  if (promise.region != settings_.region || promise.epoch != epoch() || !IsHolder(now)) {
+    return;
+  }
+  const auto round = std::find_if(rounds_.begin(), rounds_.end(), [&](const PromiseRound& it) {
+    return it.sequence == promise.sequence;
+  });
+  for (Standby& it : standbys_) {
+    if (it.ref.peer_address != promise.sender.peer_address) {
+      continue;
+    }
+    const bool is_successor = it.ref.incarnation != promise.sender.incarnation;
+    if (is_successor ? round != rounds_.end() : promise.forever) {
+      it.covered_until = base::Instant::Never();
+    } else if (!is_successor && round != rounds_.end()) {
+      it.covered_until = std::max(it.covered_until, round->sent + kPromiseTerm);
+    }
+  }
+}
+
+void CoordinatorLease::OnCandidates(std::span<const Candidate> candidates, base::Instant now) {
+  (void)now;
+  candidates_.assign(candidates.begin(), candidates.end());
+}
+
+void CoordinatorLease::OnAttestation(const membership::HostRef& newest, base::Instant now) {
+  if (newest.peer_address == settings_.self.peer_address) {
+    return;
+  }
+  std::erase_if(newest_, [&](const membership::HostRef& it) {
+    return it.peer_address == newest.peer_address;
+  });
+  newest_.push_back(newest);
+  if (IsHolder(now)) {
+    for (Standby& it : standbys_) {
+      if (IsGone(it.ref)) {
+        it.covered_until = base::Instant::Never();
+      }
+    }
+  }
+}
+
+void CoordinatorLease::OnHolderHeard(base::Epoch heard_epoch, base::Instant now) {
+  if (heard_epoch >= epoch()) {
+    silent_at_ = now + settings_.holder_silence;
+  }
+}
+
+void CoordinatorLease::SetGrantees(std::vector<membership::HostRef> grantees) {
+  grantees_ = std::move(grantees);
+}
+
+LeaseDecisions CoordinatorLease::Stop(base::Instant now) {
+  LeaseDecisions out;
+  const bool may_promise = !OwnsRecord() && !write_in_progress_ && attempts_.empty();
+  if (!stopped_ && may_promise && IsNamedStandby()) {
+    Promise promise{settings_.self, settings_.region, epoch(), 0, true};
+    out.emplace_back(SendPromise{record_->holder, std::move(promise)});
+  }
+  stopped_ = true;
+  promised_until_ = std::max(promised_until_, now);
+  return out;
+}
+
+}  // namespace mangonotch::shares
--- /dev/null
+++ b/src/shares/internal/holdings.cc
@@ -0,0 +1,69 @@
+#include "shares/holdings.h"
+
+#include <algorithm>
+
+namespace mangonotch::shares {
+
+void Holdings::FillHeartbeat(std::span<const InUse> in_use, base::Instant now,
+                             Heartbeat& heartbeat) {
+  ++sequence_;
+  sent_[sequence_ % kSentKept] = {sequence_, now};
+  heartbeat.sequence = sequence_;
+  heartbeat.epoch = epoch_;
+  heartbeat.applied = applied_;
+  heartbeat.holdings.clear();
+  std::map<LineKey, std::uint16_t> used;
+  for (const InUse& it : in_use) {
+    const LineKey key{it.target, it.work_class};
+    used[key] = it.slots;
+    if (it.slots > 0) {
+      lines_.try_emplace(key);
+    }
+  }
+  for (const auto& [key, line] : lines_) {
+    const auto it = used.find(key);
+    const std::uint16_t n = it == used.end() ? std::uint16_t{0} : it->second;
+    heartbeat.holdings.push_back({key.target, key.work_class, std::max(InForce(line, now), n), n});
+  }
+}
+
+bool Holdings::OnReply(const HeartbeatReply& reply, base::Instant now) {
+  const Sent& sent = sent_[reply.sequence % kSentKept];
+  if (reply.sequence == 0 || sent.sequence != reply.sequence || reply.epoch < epoch_) {
+    return false;
+  }
+  if (reply.epoch == epoch_ && reply.sequence <= applied_) {
+    return false;
+  }
+  if (reply.epoch > epoch_) {
+    epoch_ = reply.epoch;
+    first_of_epoch_ = sequence_ + 1;
+  }
+  applied_ = reply.sequence;
+  const bool may_raise = reply.sequence >= first_of_epoch_;
+  std::erase_if(lines_, [&](const auto& it) { return InForce(it.second, now) == 0; });
+  for (const GrantLine& it : reply.grants) {
+    Apply(it, sent.at + kGrantTerm, may_raise, now);
+  }
+  return true;
+}
+
+void Holdings::Apply(const GrantLine& grant, base::Instant deadline, bool may_raise,
+                     base::Instant now) {
+  Line& line = lines_[{grant.target, grant.work_class}];
+  const std::uint16_t most = may_raise ? grant.slots : InForce(line, now);
+  line.slots = std::min(grant.slots, most);
+  line.deadline = deadline;
+}
+
+std::span<const Grant> Holdings::GrantsInForce(base::Instant now) {
+  in_force_.clear();
+  for (const auto& [key, line] : lines_) {
+    if (InForce(line, now) > 0) {
+      in_force_.push_back({key.target, key.work_class, line.slots, line.deadline});
+    }
+  }
+  return in_force_;
+}
+
+}  // namespace mangonotch::shares
--- /dev/null
+++ b/src/shares/internal/ledger.cc
@@ -0,0 +1,291 @@
+// The accounts of the ledger: reports, grants told and lapse.
+#include "shares/ledger.h"
+
+#include <algorithm>
+
+namespace mangonotch::shares {
+
+namespace {
+
+/// Demand counts until it is reported anew; longer than the longest heartbeat interval.
+constexpr base::Duration kDemandTerm = base::Duration::Seconds(3);
+
+}  // namespace
+
+Ledger::Ledger(std::string region, const LongestDeadlines& longest_deadlines)
+    : region_(std::move(region)), longest_deadlines_(longest_deadlines) {}
+
+void Ledger::Begin(base::Epoch epoch, std::span<const membership::HostRef> grantees,
+                   base::Instant took_over_at) {
+  epoch_ = epoch;
+  hosts_.clear();
+  unsettled_.assign(grantees.begin(), grantees.end());
+  const base::Duration longest =
+      *std::max_element(longest_deadlines_.begin(), longest_deadlines_.end());
+  recovered_at_ = took_over_at + kGrantTerm + longest + kMargin;
+  std::erase_if(targets_, [](const auto& it) { return it.second.retired; });
+  for (auto& [key, target] : targets_) {
+    target.claimed = {};
+  }
+  for (auto& [key, service] : services_) {
+    service.claimed = 0;
+    service.moved_in = 0;
+    service.moves.StartFrom(0, took_over_at);
+  }
+}
+
+void Ledger::SetTargets(std::span<const TargetSpec> targets, base::Instant now) {
+  for (auto& [key, target] : targets_) {
+    target.retired = true;
+  }
+  for (const TargetSpec& it : targets) {
+    Target& target = targets_[it.target];
+    target.spec = it;
+    target.retired = false;
+  }
+  for (auto& [key, service] : services_) {
+    service.targets.clear();
+  }
+  for (const auto& [key, target] : targets_) {
+    services_[target.spec.service].targets.push_back(key);
+  }
+  Trim(now);
+}
+
+void Ledger::SetLimits(std::span<const ServiceLimits> limits, base::Instant now) {
+  for (auto& [key, service] : services_) {
+    service.limits = {};
+  }
+  for (const ServiceLimits& it : limits) {
+    services_[it.service].limits = it.limits;
+  }
+  for (auto& [key, service] : services_) {
+    service.moves.SetLimits(service.limits, now);
+  }
+  Trim(now);
+}
+
+void Ledger::SetLeaving(base::TargetKey target, bool leaving) {
+  const auto it = targets_.find(target);
+  if (it == targets_.end()) {
+    return;
+  }
+  it->second.leaving = leaving;
+  for (const base::WorkClass c : kAllClasses) {
+    TrimTarget(it->second, c);
+  }
+}
+
+void Ledger::SetLongestDeadlines(const LongestDeadlines& longest_deadlines) {
+  for (const base::WorkClass c : kAllClasses) {
+    base::Duration& present = longest_deadlines_[ClassIndex(c)];
+    const base::Duration longer = longest_deadlines[ClassIndex(c)];
+    if (longer <= present) {
+      continue;
+    }
+    for (auto& [ref, host] : hosts_) {
+      for (auto& [key, line] : host.lines) {
+        if (key.work_class == c) {
+          line.lapse_at = line.lapse_at + (longer - present);
+        }
+      }
+    }
+    recovered_at_ = recovered_at_ + (longer - present);
+    present = longer;
+  }
+}
+
+bool Ledger::IsRecovering(base::Instant now) const {
+  return !unsettled_.empty() && now < recovered_at_;
+}
+
+base::Duration Ledger::HoldTime(base::WorkClass c) const {
+  return kGrantTerm + longest_deadlines_[ClassIndex(c)] + kMargin;
+}
+
+std::optional<HeartbeatReply> Ledger::OnHeartbeat(const Heartbeat& heartbeat, bool is_grantee,
+                                                  base::Instant now) {
+  if (heartbeat.region != region_ || heartbeat.epoch > epoch_) {
+    return std::nullopt;
+  }
+  Host& host = FindOrAdd(heartbeat);
+  if (heartbeat.sequence <= host.sequence) {
+    return std::nullopt;
+  }
+  Report(host, heartbeat, now);
+  HeartbeatReply reply;
+  reply.region = region_;
+  reply.sequence = heartbeat.sequence;
+  reply.epoch = epoch_;
+  if (is_grantee) {
+    if (host.settled && !IsRecovering(now)) {
+      Serve(host, now);
+    }
+    Answer(host, reply, now);
+  }
+  return reply;
+}
+
+Ledger::Host& Ledger::FindOrAdd(const Heartbeat& heartbeat) {
+  Host& host = hosts_[heartbeat.sender.ref];
+  host.info = heartbeat.sender;
+  host.moved_in = heartbeat.sender.region != region_;
+  return host;
+}
+
+void Ledger::Report(Host& host, const Heartbeat& heartbeat, base::Instant now) {
+  Lapse(host, now);
+  host.sequence = heartbeat.sequence;
+  host.silent_at = now + kGrantTerm;
+  host.settled = heartbeat.epoch == epoch_;
+  const bool is_inherited =
+      IsRecovering(now) &&
+      std::find(unsettled_.begin(), unsettled_.end(), heartbeat.sender.ref) != unsettled_.end();
+  for (const HoldingLine& it : heartbeat.holdings) {
+    if (host.settled) {
+      Update(host, {it.target, it.work_class},
+             [&](Line& line) { line.Acknowledge(heartbeat.applied); });
+    }
+    ReportLine(host, it, is_inherited, now);
+  }
+  if (host.settled) {
+    std::erase(unsettled_, heartbeat.sender.ref);
+  }
+  ReportDemand(host, heartbeat, now);
+}
+
+void Ledger::ReportLine(Host& host, const HoldingLine& reported, bool is_inherited,
+                        base::Instant now) {
+  const LineKey key{reported.target, reported.work_class};
+  if (!targets_.contains(key.target)) {
+    return;
+  }
+  const std::uint32_t room = Room(host, key, now);
+  Update(host, key, [&](Line& line) {
+    // A host holds more than was told only by a report from before its grants lapsed.
+    const std::uint32_t most =
+        is_inherited ? reported.held : std::min<std::uint32_t>(reported.held, line.Claim() + room);
+    line.held = static_cast<std::uint16_t>(most);
+    line.in_use = std::min(reported.in_use, line.held);
+    if (!host.settled) {
+      line.grant = line.held;
+    }
+    if (line.held > 0) {
+      line.lapse_at =
+          std::max(line.lapse_at, now + longest_deadlines_[ClassIndex(key.work_class)] + kMargin);
+    }
+  });
+  Service& service = services_[targets_[key.target].spec.service];
+  if (is_inherited && host.moved_in) {
+    service.moves.StartFrom(service.moved_in, now);
+  }
+}
+
+void Ledger::ReportDemand(Host& host, const Heartbeat& heartbeat, base::Instant now) {
+  for (const DemandLine& it : heartbeat.demand) {
+    Demand& demand = host.demand[{it.service, it.work_class}];
+    demand.wanted = it.wanted;
+    demand.until = now + kDemandTerm;
+  }
+}
+
+void Ledger::Answer(Host& host, HeartbeatReply& reply, base::Instant now) {
+  for (auto& [key, line] : host.lines) {
+    if (line.Claim() == 0) {
+      continue;
+    }
+    reply.grants.push_back({key.target, key.work_class, line.grant});
+    line.Tell(reply.sequence);
+    if (line.grant > 0) {
+      line.lapse_at = std::max(line.lapse_at, now + HoldTime(key.work_class));
+    }
+  }
+  std::erase_if(host.lines, [](const auto& it) { return it.second.Claim() == 0; });
+}
+
+void Ledger::Tick(base::Instant now) {
+  for (auto& [ref, host] : hosts_) {
+    Lapse(host, now);
+  }
+  std::erase_if(hosts_, [&](const auto& it) {
+    return now >= it.second.silent_at && it.second.lines.empty();
+  });
+  std::erase_if(targets_, [](const auto& it) {
+    return it.second.retired && it.second.claimed[0] + it.second.claimed[1] == 0;
+  });
+  for (auto& [key, service] : services_) {
+    std::erase_if(service.targets, [&](base::TargetKey t) { return !targets_.contains(t); });
+  }
+  Trim(now);
+}
+
+void Ledger::Lapse(Host& host, base::Instant now) {
+  const bool is_silent = now >= host.silent_at;
+  for (auto it = host.lines.begin(); it != host.lines.end();) {
+    const LineKey key = it->first;
+    Update(host, key, [&](Line& line) {
+      if (is_silent) {
+        line.grant = 0;
+      }
+      if (now >= line.lapse_at) {
+        line.held = 0;
+        line.told.clear();
+      }
+    });
+    it = it->second.Claim() == 0 ? host.lines.erase(it) : std::next(it);
+  }
+}
+
+template <typename Change>
+void Ledger::Update(Host& host, const LineKey& key, Change change) {
+  const auto target = targets_.find(key.target);
+  if (target == targets_.end()) {
+    return;
+  }
+  Service& service = services_[target->second.spec.service];
+  Line& line = host.lines[key];
+  const std::uint32_t before = line.Claim();
+  change(line);
+  const std::uint32_t after = line.Claim();
+  std::uint32_t& claimed = target->second.claimed[ClassIndex(key.work_class)];
+  claimed = claimed - before + after;
+  service.claimed = service.claimed - before + after;
+  if (host.moved_in) {
+    service.moved_in = service.moved_in - before + after;
+  }
+}
+
+void Ledger::SetGrant(Host& host, const LineKey& key, std::uint16_t slots) {
+  Update(host, key, [&](Line& line) { line.grant = slots; });
+}
+
+std::vector<membership::HostRef> Ledger::WantedGrantees(base::Instant now) const {
+  std::vector<membership::HostRef> wanted;
+  for (const auto& [ref, host] : hosts_) {
+    if (now < host.silent_at || !host.lines.empty()) {
+      wanted.push_back(ref);
+    }
+  }
+  if (now < recovered_at_) {
+    for (const membership::HostRef& it : unsettled_) {
+      if (!hosts_.contains(it)) {
+        wanted.push_back(it);
+      }
+    }
+  }
+  return wanted;
+}
+
+std::vector<ServiceUse> Ledger::Uses() const {
+  std::vector<ServiceUse> uses;
+  for (const auto& [key, service] : services_) {
+    ServiceUse use{key, 0, service.claimed, service.moved_in};
+    for (const base::TargetKey t : service.targets) {
+      use.slots += targets_.at(t).AllSlots();
+    }
+    uses.push_back(use);
+  }
+  return uses;
+}
+
+}  // namespace mangonotch::shares
--- /dev/null
+++ b/src/shares/internal/ledger_division.cc
@@ -0,0 +1,218 @@
+// The division of slots by demand. A host that asks gets free slots first, in its own zone first.
+// When none are free, idle slots of other hosts are recalled, then slots of hosts that hold more
+// than the asker. Hosts in the region without demand get an equal standing share of what is free,
+// so that their first request need not wait.
+#include <algorithm>
+#include <tuple>
+
+#include "shares/ledger.h"
+
+namespace mangonotch::shares {
+
+namespace {
+
+/// A slot granted lately is not recalled, so that slots do not move back and forth.
+constexpr base::Duration kKeepIdle = base::Duration::Seconds(1);
+/// A busy slot is kept longer: its move serves fairness, not room.
+constexpr base::Duration kKeepBusyLonger = base::Duration::Seconds(1);
+
+}  // namespace
+
+std::uint32_t Ledger::Granted(const Host& host, const DemandKey& key) const {
+  std::uint32_t n = 0;
+  for (const base::TargetKey t : services_.at(key.service).targets) {
+    const auto it = host.lines.find({t, key.work_class});
+    n += it == host.lines.end() ? 0 : it->second.grant;
+  }
+  return n;
+}
+
+std::uint32_t Ledger::Idle(const Host& host, const DemandKey& key) const {
+  std::uint32_t n = 0;
+  for (const base::TargetKey t : services_.at(key.service).targets) {
+    const auto it = host.lines.find({t, key.work_class});
+    if (it != host.lines.end() && it->second.grant > it->second.in_use) {
+      n += it->second.grant - it->second.in_use;
+    }
+  }
+  return n;
+}
+
+std::uint32_t Ledger::Returning(const DemandKey& key) const {
+  std::uint32_t n = 0;
+  for (const auto& [ref, host] : hosts_) {
+    for (const base::TargetKey t : services_.at(key.service).targets) {
+      const auto it = host.lines.find({t, key.work_class});
+      n += it == host.lines.end() ? 0 : it->second.Claim() - it->second.grant;
+    }
+  }
+  return n;
+}
+
+std::uint32_t Ledger::Unmet(const DemandKey& key, base::Instant now) const {
+  std::uint32_t n = 0;
+  for (const auto& [ref, host] : hosts_) {
+    const auto it = host.demand.find(key);
+    n += it != host.demand.end() && now < it->second.until ? it->second.unmet : 0;
+  }
+  return n;
+}
+
+std::uint32_t Ledger::NeedierUnmet(const Host& host, const DemandKey& key,
+                                   base::Instant now) const {
+  const auto own = host.demand.find(key);
+  const bool has_need = own != host.demand.end() && own->second.unmet > 0;
+  const auto own_rank = std::tuple(!has_need, host.moved_in, Granted(host, key),
+                                   has_need ? own->second.unmet_since : base::Instant::Never());
+  std::uint32_t n = 0;
+  for (const auto& [ref, other] : hosts_) {
+    const auto it = other.demand.find(key);
+    if (&other == &host || it == other.demand.end() || now >= it->second.until ||
+        it->second.unmet == 0) {
+      continue;
+    }
+    const auto rank =
+        std::tuple(false, other.moved_in, Granted(other, key), it->second.unmet_since);
+    n += rank < own_rank ? it->second.unmet : 0;
+  }
+  return n;
+}
+
+std::uint32_t Ledger::StandingShare(const Host& host, const DemandKey& key,
+                                    base::Instant now) const {
+  if (host.moved_in || host.info.leaving) {
+    return 0;
+  }
+  const Service& service = services_.at(key.service);
+  std::uint32_t of_class = 0;
+  std::uint32_t all = 0;
+  for (const base::TargetKey t : service.targets) {
+    of_class += targets_.at(t).Slots(key.work_class);
+    all += targets_.at(t).AllSlots();
+  }
+  std::uint32_t n = 0;
+  for (const auto& [ref, other] : hosts_) {
+    n += !other.moved_in && !other.info.leaving && now < other.silent_at ? 1 : 0;
+  }
+  if (n == 0 || all == 0) {
+    return 0;
+  }
+  const std::uint64_t limited = std::min(all, service.limits.region_limit);
+  return static_cast<std::uint32_t>(limited * of_class / all / n);
+}
+
+void Ledger::Serve(Host& host, base::Instant now) {
+  for (const auto& [service, unused] : services_) {
+    for (const base::WorkClass c : kAllClasses) {
+      ServeDemand(host, {service, c}, now);
+    }
+  }
+}
+
+void Ledger::ServeDemand(Host& host, const DemandKey& key, base::Instant now) {
+  Demand& demand = host.demand[key];
+  const std::uint32_t wanted = now < demand.until ? demand.wanted : 0;
+  const std::uint32_t idle = Idle(host, key);
+  std::uint32_t granted = Granted(host, key);
+  const std::uint32_t needed = granted + (wanted > idle ? wanted - idle : 0);
+  if (needed > granted && demand.unmet == 0) {
+    demand.unmet_since = now;
+  }
+  demand.unmet = needed - granted;
+  const std::uint32_t goal = std::max(needed, StandingShare(host, key, now));
+  while (granted < goal && GrantOne(host, key, now)) {
+    ++granted;
+    demand.unmet = needed > granted ? needed - granted : 0;
+  }
+  if (demand.unmet > 0) {
+    RecallFor(host, key, now);
+  }
+}
+
+bool Ledger::GrantOne(Host& host, const DemandKey& key, base::Instant now) {
+  const std::uint32_t needier = NeedierUnmet(host, key, now);
+  if (needier > 0 && FreeSlots(key) + Returning(key) <= needier) {
+    return false;
+  }
+  const LineKey* best = nullptr;
+  LineKey best_key;
+  std::tuple<bool, int, std::uint32_t> best_score;
+  for (const base::TargetKey t : services_.at(key.service).targets) {
+    const LineKey line_key{t, key.work_class};
+    if (!MayRaise(host, line_key, now)) {
+      continue;
+    }
+    const auto it = host.lines.find(line_key);
+    const int granted = it == host.lines.end() ? 0 : it->second.grant;
+    const std::tuple score(targets_.at(t).spec.zone == host.info.zone, -granted,
+                           Room(host, line_key, now));
+    if (best == nullptr || score > best_score) {
+      best_key = line_key;
+      best = &best_key;
+      best_score = score;
+    }
+  }
+  if (best == nullptr) {
+    return false;
+  }
+  const std::uint16_t grant = host.lines[best_key].grant;
+  SetGrant(host, best_key, grant + 1);
+  host.lines[best_key].keep_until = now + kKeepIdle;
+  return true;
+}
+
+void Ledger::RecallFor(const Host& host, const DemandKey& key, base::Instant now) {
+  Service& service = services_.at(key.service);
+  if (host.moved_in && service.moved_in >= service.moves.Allowed(service.moved_in, now)) {
+    return;
+  }
+  const std::uint32_t unmet = Unmet(key, now);
+  std::uint32_t coming = Returning(key) + FreeSlots(key);
+  while (coming < unmet && RecallOne(host, key, now)) {
+    ++coming;
+  }
+}
+
+bool Ledger::RecallOne(const Host& host, const DemandKey& key, base::Instant now) {
+  const std::uint32_t own = Granted(host, key);
+  Host* donor = nullptr;
+  LineKey donor_key;
+  std::tuple<bool, std::uint32_t, bool, base::Duration> best;
+  for (auto& [ref, other] : hosts_) {
+    if (&other == &host) {
+      continue;
+    }
+    const auto demand = other.demand.find(key);
+    const bool is_wanting = demand != other.demand.end() && now < demand->second.until;
+    const std::uint32_t wanted = is_wanting ? demand->second.wanted : 0;
+    const std::uint32_t granted = Granted(other, key);
+    const bool has_surplus = Idle(other, key) > wanted;
+    const bool is_richer = !host.moved_in && (granted >= own + 2 || own == 0);
+    for (const base::TargetKey t : services_.at(key.service).targets) {
+      const auto it = other.lines.find({t, key.work_class});
+      if (it == other.lines.end() || it->second.grant == 0) {
+        continue;
+      }
+      const Line& line = it->second;
+      const bool is_idle = has_surplus && line.grant > line.in_use && now >= line.keep_until;
+      const bool is_due = is_richer && now >= line.keep_until + kKeepBusyLonger;
+      if (!is_idle && !is_due) {
+        continue;
+      }
+      const bool is_foreign_zone = targets_.at(t).spec.zone != other.info.zone;
+      const std::tuple score(is_idle, granted, is_foreign_zone, now - line.keep_until);
+      if (donor == nullptr || score > best) {
+        donor = &other;
+        donor_key = it->first;
+        best = score;
+      }
+    }
+  }
+  if (donor == nullptr) {
+    return false;
+  }
+  SetGrant(*donor, donor_key, donor->lines[donor_key].grant - 1);
+  return true;
+}
+
+}  // namespace mangonotch::shares
--- a/src/shares/messages.h
+++ b/src/shares/messages.h
@@ -41,6 +41,9 @@
   std::uint64_t sequence = 0;
   /// Highest coordinator epoch of the addressed region that the sender has seen.
   base::Epoch epoch = 0;
+  /// Sequence of the newest reply of that epoch which `holdings` take into account; the sender
+  /// applies no older reply any more.
+  std::uint64_t applied = 0;
   std::string region;
   std::vector<HoldingLine> holdings;
   std::vector<DemandLine> demand;
