Stop the HTTP server without leaving a caller in doubt

New connections are filtered out while established ones are still answered; cxxtools sets TCP_DEFER_ACCEPT, so the first bytes of a request still pass the listening socket. The body of a request ends at its length: bytes of a pipelined request were taken for the body before.

--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -14,6 +14,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <istream>
 #include <ostream>
@@ -21,6 +23,8 @@
 #include <system_error>
 #include <thread>
 
+#include "http/internal/listening_socket.h"
+
 namespace mangonotch::http::internal {
 namespace {
 
@@ -66,7 +70,6 @@
   head.method = request.method();
   head.path = request.url();
   head.query = request.qparams();
-  head.version_major = request.header().httpVersionMajor();
   head.version_minor = request.header().httpVersionMinor();
   for (auto it = request.header().begin(); it != request.header().end(); ++it) {
     head.headers.push_back({it->first, it->second});
@@ -100,6 +103,7 @@
     if (refusal != Refusal::kNone) {
       throw RefusedRequest(refusal);
     }
+    body_left_ = request.header().contentLength();
     if (request.hasHeader("Expect")) {
       // cxxtools never sends it, and a caller that asks for it would wait.
       constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -108,13 +112,16 @@
   }
 
   std::size_t readBody(std::istream& in) override {
-    const auto n = in.rdbuf()->in_avail();
+    // Bytes beyond the body belong to the next request of the connection.
+    const auto n = std::min<std::streamsize>(in.rdbuf()->in_avail(),
+                                             static_cast<std::streamsize>(body_left_));
     if (n <= 0) {
       return 0;
     }
     const std::size_t before = incoming_.body.size();
     incoming_.body.resize(before + static_cast<std::size_t>(n));
     in.read(incoming_.body.data() + before, n);
+    body_left_ -= static_cast<std::size_t>(n);
     return static_cast<std::size_t>(n);
   }
 
@@ -142,6 +149,7 @@
  private:
   RequestSink& sink_;
   IncomingRequest incoming_;
+  std::size_t body_left_ = 0;
 };
 
 class SinkService : public cxxtools::http::Service {
@@ -179,14 +187,35 @@
   std::uint16_t port() const { return port_; }
 
   void Stop() {
-    if (thread_.joinable()) {
-      loop_.exit();
-      thread_.join();
-      server_.reset();
+    if (!thread_.joinable()) {
+      return;
     }
+    RefuseNewConnections();
+    loop_.exit();
+    thread_.join();
+    server_.reset();
   }
 
  private:
+  /// The requests of connections that were established last are still answered (by a refusal), so that no caller
+  /// wonders whether its request ran.
+  void RefuseNewConnections() {
+    const ListeningSocket socket = ListeningSocket::Find(port_);
+    if (!socket) {
+      return;
+    }
+    socket.RefuseNew();
+    for (int i = 0; i < kAcceptChecks && socket.HasPending(); ++i) {
+      std::this_thread::sleep_for(kAcceptCheck);
+    }
+    std::this_thread::sleep_for(kLastRequestWait);
+  }
+
+  static constexpr std::chrono::milliseconds kAcceptCheck{5};
+  static constexpr int kAcceptChecks = 40;
+  /// Twice the longest one-way latency between regions (55 ms): a request that follows its handshake is here by then.
+  static constexpr std::chrono::milliseconds kLastRequestWait{110};
+
   void Listen(const ListenerSettings& settings) {
     if (settings.port != 0) {
       server_->listen(settings.address, settings.port);
--- a/src/http/internal/refusal.cc
+++ b/src/http/internal/refusal.cc
@@ -25,8 +25,6 @@
       return "unknown-method";
     case Refusal::kBadHost:
       return "bad-host";
-    case Refusal::kUnknownVersion:
-      return "unknown-version";
     case Refusal::kUnknownExpectation:
       return "unknown-expectation";
     case Refusal::kStopping:
@@ -56,8 +54,6 @@
       return 501;
     case Refusal::kStopping:
       return 503;
-    case Refusal::kUnknownVersion:
-      return 505;
   }
   return 500;
 }
@@ -108,8 +104,6 @@
       return "Service Unavailable";
     case 504:
       return "Gateway Timeout";
-    case 505:
-      return "HTTP Version Not Supported";
     default:
       return "Status";
   }
--- a/src/http/internal/request_check.cc
+++ b/src/http/internal/request_check.cc
@@ -83,9 +83,6 @@
 }  // namespace
 
 Refusal Check(const RequestHead& head, const HeadLimits& limits) {
-  if (head.version_major != 1 || head.version_minor > 1) {
-    return Refusal::kUnknownVersion;
-  }
   if (std::find(kMethods.begin(), kMethods.end(), head.method) == kMethods.end()) {
     return Refusal::kUnknownMethod;
   }
--- a/src/http/internal/request_check.h
+++ b/src/http/internal/request_check.h
@@ -16,8 +16,7 @@
   std::string_view method;
   std::string_view path;
   std::string_view query;
-  unsigned version_major = 1;
-  unsigned version_minor = 1;
+  unsigned version_minor = 1;  // Of HTTP/1; cxxtools refuses other versions.
   std::vector<HeaderView> headers;
 };
 
--- a/src/http/internal/server.cc
+++ b/src/http/internal/server.cc
@@ -52,6 +52,8 @@
     listener_->Stop();
   }
 
+  bool stopping() const { return stopping_; }
+
   std::uint64_t refused(Refusal refusal) const {
     return refused_[static_cast<std::size_t>(refusal)];
   }
@@ -121,6 +123,7 @@
 Server::~Server() = default;
 std::uint16_t Server::port() const { return impl_->port(); }
 void Server::Stop() { impl_->Stop(); }
+bool Server::stopping() const { return impl_->stopping(); }
 std::uint64_t Server::refused(Refusal refusal) const { return impl_->refused(refusal); }
 
 }  // namespace mangonotch::http
--- a/src/http/refusal.h
+++ b/src/http/refusal.h
@@ -16,11 +16,10 @@
   kBadUrl,              // 400: empty, not absolute or with control characters.
   kUnknownMethod,       // 501
   kBadHost,             // 400: Host missing on HTTP/1.1, or repeated.
-  kUnknownVersion,      // 505
   kUnknownExpectation,  // 417: Expect with another value than 100-continue.
   kStopping,            // 503: the server is stopping and takes no new request.
 };
-inline constexpr std::size_t kRefusals = 12;
+inline constexpr std::size_t kRefusals = 11;
 
 /// Label for counters, such as "body-too-large".
 std::string_view Name(Refusal refusal);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -69,6 +69,7 @@
   /// Accepts no new connection or request, waits until the requests in flight are answered with
   /// Connection: close.
   void Stop();
+  bool stopping() const;
 
   /// Requests refused for this reason since the start.
   std::uint64_t refused(Refusal refusal) const;
