--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -113,8 +113,8 @@
 
   std::size_t readBody(std::istream& in) override {
     // Bytes beyond the body belong to the next request of the connection.
-    const auto n = std::min<std::streamsize>(in.rdbuf()->in_avail(),
-                                             static_cast<std::streamsize>(body_left_));
+    const auto n =
+        std::min<std::streamsize>(in.rdbuf()->in_avail(), static_cast<std::streamsize>(body_left_));
     if (n <= 0) {
       return 0;
     }
@@ -197,8 +197,8 @@
   }
 
  private:
-  /// The requests of connections that were established last are still answered (by a refusal), so that no caller
-  /// wonders whether its request ran.
+  /// The requests of connections that were established last are still answered (by a refusal), so
+  /// that no caller wonders whether its request ran.
   void RefuseNewConnections() {
     const ListeningSocket socket = ListeningSocket::Find(port_);
     if (!socket) {
@@ -213,7 +213,8 @@
 
   static constexpr std::chrono::milliseconds kAcceptCheck{5};
   static constexpr int kAcceptChecks = 40;
-  /// Twice the longest one-way latency between regions (55 ms): a request that follows its handshake is here by then.
+  /// Twice the longest one-way latency between regions (55 ms): a request that follows its
+  /// handshake is here by then.
   static constexpr std::chrono::milliseconds kLastRequestWait{110};
 
   void Listen(const ListenerSettings& settings) {
--- a/src/http/internal/listening_socket.cc
+++ b/src/http/internal/listening_socket.cc
@@ -41,8 +41,9 @@
 }
 
 void ListeningSocket::RefuseNew() const {
-  // Drops packets with SYN and without ACK. Others must pass: cxxtools sets TCP_DEFER_ACCEPT, so the first bytes of a
-  // request still come to the listening socket. Accepted sockets inherit the filter; a SYN means nothing to them.
+  // Drops packets with SYN and without ACK. Others must pass: cxxtools sets TCP_DEFER_ACCEPT, so
+  // the first bytes of a request still come to the listening socket. Accepted sockets inherit the
+  // filter; a SYN means nothing to them.
   constexpr std::uint32_t kFlagsOffset = 13;
   constexpr std::uint32_t kSyn = 0x02;
   constexpr std::uint32_t kAck = 0x10;
--- a/src/http/internal/listening_socket.h
+++ b/src/http/internal/listening_socket.h
@@ -1,4 +1,5 @@
-// The listening socket that cxxtools keeps to itself, found by its port, so that a stop can refuse new connections.
+// The listening socket that cxxtools keeps to itself, found by its port, so that a stop can refuse
+// new connections.
 #pragma once
 
 #include <cstdint>
@@ -10,9 +11,9 @@
   /// Looks through the open files of this process; fd is -1 when no socket listens on `port`.
   static ListeningSocket Find(std::uint16_t port);
 
-  /// Lets no new connection begin, while connections that were already established can still be accepted: a caller that
-  /// has connected and written its request must get an answer. Callers see their connect refused once the socket is
-  /// closed.
+  /// Lets no new connection begin, while connections that were already established can still be
+  /// accepted: a caller that has connected and written its request must get an answer. Callers see
+  /// their connect refused once the socket is closed.
   void RefuseNew() const;
   /// True while an established connection waits to be accepted.
   bool HasPending() const;
--- a/src/http/tests/raw_peer.h
+++ b/src/http/tests/raw_peer.h
@@ -1,4 +1,5 @@
-// Plain sockets for tests: a caller that writes any bytes, and a target that answers with any bytes.
+// Plain sockets for tests: a caller that writes any bytes, and a target that answers with any
+// bytes.
 #pragma once
 
 #include <arpa/inet.h>
@@ -83,7 +84,8 @@
   int fd_;
 };
 
-/// Accepts connections one after the other and hands each to `serve` together with its number, from 0.
+/// Accepts connections one after the other and hands each to `serve` together with its number, from
+/// 0.
 class RawTarget {
  public:
   using Serve = std::function<void(RawConnection&, int)>;
--- a/src/http/tests/server_test.cc
+++ b/src/http/tests/server_test.cc
@@ -1,4 +1,5 @@
-// Guards against requests that a caller and the server could read differently, and against stops that harm a caller.
+// Guards against requests that a caller and the server could read differently, and against stops
+// that harm a caller.
 #include "http/server.h"
 
 #include <atomic>
@@ -111,8 +112,8 @@
 
 TEST_CASE("A refusal reaches a caller that goes on writing its large body") {
   EchoServer echo;
-  std::string request =
-      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n\r\n" + std::string(3'000'000, 'a');
+  std::string request = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n\r\n" +
+                        std::string(3'000'000, 'a');
   CHECK(echo.Ask(request).starts_with("HTTP/1.1 413 "));
 }
 
@@ -143,8 +144,9 @@
 TEST_CASE("Whole bodies, pipelined requests and 100-continue are served") {
   EchoServer echo;
   const std::string post = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
-  const std::string last = "PUT /b HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
-                           "Connection: close\r\nContent-Length: 2\r\n\r\nde";
+  const std::string last =
+      "PUT /b HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+      "Connection: close\r\nContent-Length: 2\r\n\r\nde";
   const std::string answer = echo.Ask(post + last);
   CHECK(answer.find("POST /a abc") != std::string::npos);
   CHECK(answer.find("HTTP/1.1 100 Continue\r\n\r\n") != std::string::npos);
@@ -153,8 +155,7 @@
 
 TEST_CASE("An answer to HEAD has no body, which the next answer would be mixed with") {
   EchoServer echo;
-  const std::string answer =
-      echo.Ask("HEAD /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  const std::string answer = echo.Ask("HEAD /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
   CHECK(answer.find("Content-Length: 8\r\n") != std::string::npos);
   CHECK(answer.ends_with("\r\n\r\n"));
 }
@@ -185,9 +186,9 @@
 
 TEST_CASE("A port in use is an error and not a silent second listener") {
   EchoServer echo;
-  CHECK_THROWS_AS(Server("127.0.0.1", echo.server().port(), {},
-                         [](const Request&) { return Response(); }),
-                  base::Error);
+  CHECK_THROWS_AS(
+      Server("127.0.0.1", echo.server().port(), {}, [](const Request&) { return Response(); }),
+      base::Error);
 }
 
 TEST_CASE("Work for a caller that has gone can be dropped") {
