--- a/src/wire/internal/layout.h
+++ b/src/wire/internal/layout.h
@@ -83,6 +83,7 @@
   ar(v.sender);
   ar(v.sequence);
   ar(v.epoch);
+  ar(v.applied);
   ar(wire::internal::Text(v.region, wire::kMaxRegionBytes));
   ar(wire::internal::List(v.holdings));
   ar(wire::internal::List(v.demand));
--- a/src/wire/internal/system.cc
+++ b/src/wire/internal/system.cc
@@ -36,7 +36,7 @@
   return std::max(ready, 0);
 }
 
-FileDescriptor OpenSocket(const Endpoint& address, int type, const std::string& step) {
+FileDescriptor OpenSocket(const SocketAddress& address, int type, const std::string& step) {
   FileDescriptor fd(socket(address.family(), type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (fd.get() < 0) {
     ThrowSystemError(step, address.ToString());
@@ -44,13 +44,13 @@
   return fd;
 }
 
-void Bind(const FileDescriptor& fd, const Endpoint& address, const std::string& step) {
+void Bind(const FileDescriptor& fd, const SocketAddress& address, const std::string& step) {
   if (bind(fd.get(), address.address(), address.length()) != 0) {
     ThrowSystemError(step, address.ToString());
   }
 }
 
-Endpoint LocalEndpoint(const FileDescriptor& fd) {
+SocketAddress LocalAddress(const FileDescriptor& fd) {
   sockaddr_storage address{};
   socklen_t n = sizeof(address);
   if (getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &n) != 0) {
--- a/src/wire/internal/system.h
+++ b/src/wire/internal/system.h
@@ -8,8 +8,8 @@
 
 #include "base/duration.h"
 #include "base/instant.h"
-#include "wire/endpoint.h"
 #include "wire/file_descriptor.h"
+#include "wire/socket_address.h"
 
 namespace mangonotch::wire::internal {
 
@@ -24,12 +24,12 @@
 int PollUntil(std::span<pollfd> fds, base::Instant deadline);
 
 /// A socket that never blocks. `type` is SOCK_STREAM or SOCK_DGRAM.
-FileDescriptor OpenSocket(const Endpoint& address, int type, const std::string& step);
+FileDescriptor OpenSocket(const SocketAddress& address, int type, const std::string& step);
 
 /// Binds `fd` to `address`.
-void Bind(const FileDescriptor& fd, const Endpoint& address, const std::string& step);
+void Bind(const FileDescriptor& fd, const SocketAddress& address, const std::string& step);
 
 /// The address that `fd` is bound to.
-Endpoint LocalEndpoint(const FileDescriptor& fd);
+SocketAddress LocalAddress(const FileDescriptor& fd);
 
 }  // namespace mangonotch::wire::internal
--- a/src/wire/internal/table_pull.cc
+++ b/src/wire/internal/table_pull.cc
@@ -20,7 +20,7 @@
 
 class PullConnection {
  public:
-  PullConnection(const Endpoint& peer, base::Instant deadline)
+  PullConnection(const SocketAddress& peer, base::Instant deadline)
       : peer_(peer.ToString()),
         deadline_(deadline),
         fd_(internal::OpenSocket(peer, SOCK_STREAM, kStep)) {
@@ -89,7 +89,7 @@
 
 }  // namespace
 
-TableText PullTable(const Endpoint& peer, base::Instant deadline) {
+TableText PullTable(const SocketAddress& peer, base::Instant deadline) {
   const PullConnection connection(peer, deadline);
   connection.Write(internal::EncodePullRequest());
   internal::PullHeadFrame frame{};
--- a/src/wire/internal/table_server.cc
+++ b/src/wire/internal/table_server.cc
@@ -97,7 +97,7 @@
   std::size_t sent_ = 0;
 };
 
-TableServer::TableServer(const Endpoint& address)
+TableServer::TableServer(const SocketAddress& address)
     : listener_(internal::OpenSocket(address, SOCK_STREAM, "open table listener")),
       table_(std::make_shared<const TableText>()) {
   const int on = 1;
@@ -107,7 +107,7 @@
   if (listen(listener_.get(), SOMAXCONN) != 0) {
     internal::ThrowSystemError("open table listener", address.ToString());
   }
-  local_ = internal::LocalEndpoint(listener_);
+  local_ = internal::LocalAddress(listener_);
   thread_ = std::thread([this] { Serve(); });
 }
 
--- a/src/wire/internal/udp_socket.cc
+++ b/src/wire/internal/udp_socket.cc
@@ -8,13 +8,13 @@
 
 namespace mangonotch::wire {
 
-UdpSocket::UdpSocket(const Endpoint& address)
+UdpSocket::UdpSocket(const SocketAddress& address)
     : fd_(internal::OpenSocket(address, SOCK_DGRAM, "open peer socket")) {
   internal::Bind(fd_, address, "bind peer socket");
-  local_ = internal::LocalEndpoint(fd_);
+  local_ = internal::LocalAddress(fd_);
 }
 
-bool UdpSocket::Send(const Endpoint& to, std::span<const std::byte> bytes) const {
+bool UdpSocket::Send(const SocketAddress& to, std::span<const std::byte> bytes) const {
   const auto n =
       sendto(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, to.address(), to.length());
   if (n >= 0) {
@@ -49,7 +49,7 @@
     }
     internal::ThrowSystemError("receive datagram", local_.ToString());
   }
-  received.from = Endpoint(from, length);
+  received.from = SocketAddress(from, length);
   const auto size = static_cast<std::size_t>(n);
   received.event = size > buf.size() ? ReceiveEvent::kOversized : ReceiveEvent::kDatagram;
   if (received.event == ReceiveEvent::kDatagram) {
--- a/src/wire/table_server.h
+++ b/src/wire/table_server.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "base/instant.h"
-#include "wire/endpoint.h"
 #include "wire/file_descriptor.h"
+#include "wire/socket_address.h"
 #include "wire/table_text.h"
 #include "wire/wake_up.h"
 
@@ -20,13 +20,13 @@
 class TableServer {
  public:
   /// Throws base::Error when `address` cannot be bound.
-  explicit TableServer(const Endpoint& address);
+  explicit TableServer(const SocketAddress& address);
   /// Ends connections in progress.
   ~TableServer();
   TableServer(const TableServer&) = delete;
   TableServer& operator=(const TableServer&) = delete;
 
-  const Endpoint& local() const { return local_; }
+  const SocketAddress& local() const { return local_; }
 
   /// The table that peers get from now on; may be called from any thread. Throws base::Error when
   /// the text is over kMaxTableBytes.
@@ -43,7 +43,7 @@
   std::shared_ptr<const TableText> Current();
 
   FileDescriptor listener_;
-  Endpoint local_;
+  SocketAddress local_;
   WakeUp stop_;
   std::mutex mutex_;
   /// Never null; guarded by `mutex_`.
--- a/src/wire/tests/codec_test.cc
+++ b/src/wire/tests/codec_test.cc
@@ -31,7 +31,7 @@
 }
 
 shares::Heartbeat LargeHeartbeat(std::uint16_t lines) {
-  shares::Heartbeat message{Host(1), 4, 5, "alfold", {}, {}, {}};
+  shares::Heartbeat message{Host(1), 4, 5, 6, "alfold", {}, {}, {}};
   for (std::uint16_t i = 0; i < lines; ++i) {
     message.holdings.push_back({{i}, base::WorkClass::kLong, i, 1});
     message.demand.push_back({{i}, base::WorkClass::kShort, i});
--- a/src/wire/tests/socket_test.cc
+++ b/src/wire/tests/socket_test.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 #include <cerrno>
+#include <cstring>
 #include <string>
 #include <thread>
 
@@ -19,7 +20,7 @@
 namespace mangonotch::wire {
 namespace {
 
-Endpoint AnyPort() { return Endpoint::Parse("127.0.0.1:0"); }
+SocketAddress AnyPort() { return SocketAddress::Parse("127.0.0.1:0"); }
 
 base::Instant In(std::int64_t seconds) {
   return internal::Now() + base::Duration::Seconds(seconds);
@@ -43,7 +44,7 @@
   }
   ~FalsePeer() { thread_.join(); }
 
-  Endpoint local() const { return internal::LocalEndpoint(listener_); }
+  SocketAddress local() const { return internal::LocalAddress(listener_); }
 
  private:
   FileDescriptor listener_;
@@ -59,18 +60,23 @@
 
 TEST_CASE("Addresses survive their text, and names and malformed ones are refused") {
   for (const std::string text : {"127.0.0.1:7001", "0.0.0.0:0", "[::1]:7001", "[fe80::1]:65535"}) {
-    REQUIRE(Endpoint::Parse(text).ToString() == text);
+    const auto address = SocketAddress::Parse(text);
+    REQUIRE(address.ToString() == text);
+    // The endpoint of a received datagram compares equal to the one parsed from the settings.
+    sockaddr_storage raw{};
+    std::memcpy(&raw, address.address(), address.length());
+    REQUIRE(SocketAddress(raw, address.length()) == address);
   }
   for (const char* text : {"", "127.0.0.1", "localhost:1", "::1:7001", "[::1]", "127.0.0.1:65536",
                            "127.0.0.1:-1", "127.0.0.1:1x", "127.1:1", "[127.0.0.1]:1"}) {
-    REQUIRE_THROWS_AS(Endpoint::Parse(text), base::Error);
+    REQUIRE_THROWS_AS(SocketAddress::Parse(text), base::Error);
   }
 }
 
 TEST_CASE("A datagram arrives with its sender, over IPv4 and IPv6") {
   for (const char* address : {"127.0.0.1:0", "[::1]:0"}) {
-    const UdpSocket a(Endpoint::Parse(address));
-    const UdpSocket b(Endpoint::Parse(address));
+    const UdpSocket a(SocketAddress::Parse(address));
+    const UdpSocket b(SocketAddress::Parse(address));
     const std::array<std::byte, 3> bytes{std::byte{1}, std::byte{2}, std::byte{3}};
     REQUIRE(a.Send(b.local(), bytes));
     std::array<std::byte, kMaxDatagramBytes> buf;
@@ -136,7 +142,7 @@
 }
 
 TEST_CASE("A pull from a false, early ending, silent or absent peer fails with its address") {
-  const auto pull = [](const Endpoint& peer) { PullTable(peer, In(10)); };
+  const auto pull = [](const SocketAddress& peer) { PullTable(peer, In(10)); };
   REQUIRE_THROWS_AS(pull(FalsePeer(std::vector<std::byte>(19)).local()), DecodeError);
   REQUIRE_THROWS_AS(pull(FalsePeer(Head(kMaxTableBytes + 1)).local()), DecodeError);
   REQUIRE_THROWS_WITH(pull(FalsePeer(Head(5)).local()), Catch::Contains("closed the connection"));
@@ -146,7 +152,7 @@
   const auto listener = internal::OpenSocket(AnyPort(), SOCK_STREAM, "open");
   internal::Bind(listener, AnyPort(), "bind");
   REQUIRE(listen(listener.get(), 1) == 0);
-  REQUIRE_THROWS_WITH(PullTable(internal::LocalEndpoint(listener),
+  REQUIRE_THROWS_WITH(PullTable(internal::LocalAddress(listener),
                                 internal::Now() + base::Duration::Milliseconds(20)),
                       Catch::Contains("deadline"));
 }
--- a/src/wire/udp_socket.h
+++ b/src/wire/udp_socket.h
@@ -6,8 +6,8 @@
 #include <span>
 
 #include "base/instant.h"
-#include "wire/endpoint.h"
 #include "wire/file_descriptor.h"
+#include "wire/socket_address.h"
 #include "wire/wake_up.h"
 
 namespace mangonotch::wire {
@@ -23,7 +23,7 @@
 struct Received {
   ReceiveEvent event = ReceiveEvent::kTimeout;
   /// Set with kDatagram and kOversized.
-  Endpoint from;
+  SocketAddress from;
   /// Part of the caller's buffer; set with kDatagram.
   std::span<const std::byte> bytes;
 };
@@ -32,14 +32,14 @@
  public:
   /// Throws base::Error, also when another process has the address: it is never shared, since a new
   /// incarnation at an address attests that the old one is gone (design, section 6).
-  explicit UdpSocket(const Endpoint& address);
+  explicit UdpSocket(const SocketAddress& address);
 
   /// The address bound; tells the port when port 0 was asked for.
-  const Endpoint& local() const { return local_; }
+  const SocketAddress& local() const { return local_; }
 
   /// Throws base::Error when the system refuses the datagram. A datagram that finds the send buffer
   /// full is lost, as any may be on its way; false then.
-  bool Send(const Endpoint& to, std::span<const std::byte> bytes) const;
+  bool Send(const SocketAddress& to, std::span<const std::byte> bytes) const;
 
   /// Sleeps until a datagram or a call of Wake arrives or `deadline` (of CLOCK_BOOTTIME) passes;
   /// Never() sleeps without limit. A datagram that waits is returned also after the deadline.
@@ -50,7 +50,7 @@
 
  private:
   FileDescriptor fd_;
-  Endpoint local_;
+  SocketAddress local_;
   WakeUp wake_up_;
 };
 
