--- a/src/admission/class_load.h
+++ b/src/admission/class_load.h
@@ -22,6 +22,7 @@
  public:
   explicit ClassLoad(const ClassLoadSettings& settings);
 
+  /// Slots in force on targets that are not in reserve.
   void SetUsableSlots(std::uint32_t slots) { usable_slots_ = slots; }
   void OnTaken(base::RegionIndex region, base::Instant now);
   void OnReleased(base::RegionIndex region, base::Duration held);
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -56,10 +56,10 @@
   }
   /// The target gets nothing new until the mark is cleared. False for an unknown target.
   bool MarkLeaving(base::TargetKey target, base::Instant now) {
-    return slots_.SetLeaving(target, true, now);
+    return SetLeaving(target, true, now);
   }
   bool ClearLeaving(base::TargetKey target, base::Instant now) {
-    return slots_.SetLeaving(target, false, now);
+    return SetLeaving(target, false, now);
   }
   /// A target's own report of its load; advice to the policy.
   void ReportLoad(base::TargetKey target, std::uint16_t load_per_mille, base::Instant now) {
@@ -71,9 +71,7 @@
   /// about ten times a second.
   void Tick(base::Instant now) {
     health_.Evaluate(slots_, {lanes_[0].queue.size(), lanes_[1].queue.size()}, now);
-    for (const auto work_class : {base::WorkClass::kShort, base::WorkClass::kLong}) {
-      LaneOf(work_class).load.SetUsableSlots(slots_.CountUsableSlots(work_class, now));
-    }
+    UpdateUsable(now);
   }
 
   // Traffic operations.
@@ -81,9 +79,9 @@
   Decision Admit(const Request& request, base::Instant now) {
     Lane& lane = LaneOf(request.work_class);
     if (now >= request.deadline) return Refused{RefusalReason::kDeadlinePassed, {}};
-    if (const auto admitted = TryTake(request, now)) return *admitted;
-    if (!HasOpenTarget(request)) return Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)};
     const std::size_t n = lane.queue.size();
+    if (const auto admitted = TryTake(request, n + 1, now)) return *admitted;
+    if (!HasOpenTarget(request)) return Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)};
     const base::Instant expected_end =
         now + lane.load.ExpectedWait(n + 1) + lane.load.ServiceTime();
     if (expected_end > request.deadline) {
@@ -169,6 +167,18 @@
     return demand;
   }
 
+  /// Room that is left when the target stops; a planned stop is delayed while it is not enough. An
+  /// unknown target takes nothing away.
+  Headroom HeadroomWithout(base::TargetKey target, base::WorkClass work_class,
+                           base::Instant now) const {
+    const auto position = slots_.Find(target);
+    if (!position) return {};
+    const base::RegionIndex region = slots_.targets()[*position].target.region;
+    const std::uint32_t own = slots_.UsableSlots(*position, work_class, now);
+    return {.slots_left = slots_.CountUsableSlots(work_class, region, now) - own,
+            .slots_needed = health_.NeededSlots(region, work_class)};
+  }
+
   /// For each listed target why a request would not go there now. Valid until the next call.
   std::span<const Explanation> Explain(const Request& request, base::Instant now) {
     explanations_.clear();
@@ -196,6 +206,19 @@
 
   Lane& LaneOf(base::WorkClass work_class) { return lanes_[static_cast<std::size_t>(work_class)]; }
 
+  bool SetLeaving(base::TargetKey target, bool is_leaving, base::Instant now) {
+    const bool is_known = slots_.SetLeaving(target, is_leaving, now);
+    UpdateUsable(now);
+    return is_known;
+  }
+
+  void UpdateUsable(base::Instant now) {
+    slots_.UpdateUsable(now);
+    for (const auto work_class : {base::WorkClass::kShort, base::WorkClass::kLong}) {
+      LaneOf(work_class).load.SetUsableSlots(slots_.usable_slots(work_class));
+    }
+  }
+
   static std::span<const RegionPreference> RegionsOf(const Request& request) {
     return request.regions.first(std::min(request.regions.size(), kMaxPreferredRegions));
   }
@@ -211,10 +234,18 @@
     });
   }
 
-  std::optional<Admitted> TryTake(const Request& request, base::Instant now) {
-    // Each pass either admits or drops a region or an expired target from the candidates.
-    while (const auto region = ChooseRegion(request)) {
-      const auto candidates = slots_.Candidates(request.work_class, *region, ExcludedOf(request));
+  /// `position` is the place in the queue that the request has or would have, from 1.
+  std::optional<Admitted> TryTake(const Request& request, std::size_t position, base::Instant now) {
+    if (const auto admitted = TryTakeFrom(Tier::kPrimary, request, position, now)) return admitted;
+    return TryTakeFrom(Tier::kReserve, request, position, now);
+  }
+
+  std::optional<Admitted> TryTakeFrom(Tier tier, const Request& request, std::size_t position,
+                                      base::Instant now) {
+    // Each pass either returns or drops an expired target from the candidates.
+    while (const auto region = ChooseRegion(tier, request)) {
+      const auto candidates =
+          slots_.Candidates(request.work_class, tier, *region, ExcludedOf(request));
       Lane& lane = LaneOf(request.work_class);
       const auto chosen =
           candidates[lane.policy.Choose({candidates, slots_.loads()}, now, random_)];
@@ -222,6 +253,8 @@
         slots_.Refresh(chosen, request.work_class, now);
         continue;
       }
+      if (tier == Tier::kReserve && !IsWorthReserve(request, chosen, position, now))
+        return std::nullopt;
       lane.load.OnTaken(*region, now);
       const Slot slot = slots_.Take(chosen, request.work_class, request.deadline, now);
       return Admitted{slot, slots_.targets()[chosen].target.key};
@@ -229,17 +262,30 @@
     return std::nullopt;
   }
 
+  /// A slow target is used only when the wait for another one would cost more than its slowness,
+  /// when there is no other, or when the queue fills up, since refusing is worse than slowness.
+  bool IsWorthReserve(const Request& request, TargetPosition chosen, std::size_t position,
+                      base::Instant now) {
+    const Lane& lane = LaneOf(request.work_class);
+    if (lane.queue.size() > lane.queue.capacity() / 2) return true;
+    const auto regions = RegionsOf(request);
+    const bool has_other =
+        std::any_of(regions.begin(), regions.end(), [&](const RegionPreference& r) {
+          return slots_.HasUsableTarget(request.work_class, r.region, ExcludedOf(request), now);
+        });
+    const float slowness = slots_.targets()[chosen].verdict.slowness;
+    const double cost = (slowness - 1) * lane.load.ServiceTime().seconds();
+    return !has_other || lane.load.ExpectedWait(position).seconds() > cost;
+  }
+
   /// Draws a region with candidates in proportion to the weights, else the first in order.
-  std::optional<base::RegionIndex> ChooseRegion(const Request& request) {
-    if (!slots_.HasAvailable(request.work_class)) return std::nullopt;
+  std::optional<base::RegionIndex> ChooseRegion(Tier tier, const Request& request) {
+    if (!slots_.HasAvailable(request.work_class, tier)) return std::nullopt;
     const auto excluded = ExcludedOf(request);
-    const auto has_candidates = [&](const RegionPreference& r) {
-      return !slots_.Candidates(request.work_class, r.region, excluded).empty();
-    };
     std::optional<base::RegionIndex> chosen;
     std::uint64_t total = 0;
     for (const RegionPreference& r : RegionsOf(request)) {
-      if (!has_candidates(r)) continue;
+      if (slots_.Candidates(request.work_class, tier, r.region, excluded).empty()) continue;
       total += r.weight;
       // Reservoir sampling: the region replaces the earlier choice with probability weight / total.
       const bool is_drawn = r.weight > 0 && random_.Next() % total < r.weight;
@@ -259,7 +305,7 @@
             {id, Refused{RefusalReason::kDeadlinePassed, lane.load.RetryAfter(lane.queue.size())}});
       } else if (!HasOpenTarget(request)) {
         ready_.push_back({id, Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)}});
-      } else if (const auto admitted = TryTake(request, now)) {
+      } else if (const auto admitted = TryTake(request, i + 1, now)) {
         ready_.push_back({id, *admitted});
       } else {
         ++i;
--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -117,8 +117,9 @@
   kExcluded,
   kWarmingUp,  // It has a free slot, but its ramp does not allow more requests yet.
   kOtherRegion,
+  kReserve,  // Slow, but needed: it gets requests only while all other targets are busy.
 };
-inline constexpr std::size_t kExclusionReasons = 9;
+inline constexpr std::size_t kExclusionReasons = 10;
 
 struct Explanation {
   base::TargetKey target;
@@ -151,6 +152,16 @@
   std::uint16_t usable = 0;
 };
 
+/// What a planned stop of a target would leave of its region on this host.
+struct Headroom {
+  /// Usable slots of the other targets.
+  std::uint32_t slots_left = 0;
+  /// Slots that the present load needs.
+  float slots_needed = 0;
+
+  bool IsEnough() const { return static_cast<float>(slots_left) >= slots_needed; }
+};
+
 constexpr std::string_view Name(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kDeadlinePassed:
@@ -201,6 +212,8 @@
       return "warming-up";
     case ExclusionReason::kOtherRegion:
       return "other-region";
+    case ExclusionReason::kReserve:
+      return "reserve";
   }
   return "unknown";
 }
