Ledger: count a report against the claim from before its acknowledgement

A property test with a simulated network showed two ways to count a slot too low. A slot was lost from the account when a recall crossed with the acknowledgement of its grant. A grant reported to a new coordinator in an old heartbeat was told again after the host had given the slot back. Holdings in a heartbeat are now complete, and the first report of a host that has seen the new epoch sets its grants. The division serves the host that has waited longest, and recalls busy slots one at a time.

--- a/src/shares/holdings.h
+++ b/src/shares/holdings.h
@@ -74,7 +74,6 @@
   /// Sequence of the first heartbeat that told the coordinator of `epoch_` that it is known here.
   std::uint64_t first_of_epoch_ = 1;
   std::array<Sent, kSentKept> sent_;
-  /// A line without slots stays until a reply shows that the coordinator has dropped it.
   std::map<LineKey, Line> lines_;
   std::vector<Grant> in_force_;
 };
--- a/src/shares/internal/holdings.cc
+++ b/src/shares/internal/holdings.cc
@@ -12,18 +12,18 @@
   heartbeat.epoch = epoch_;
   heartbeat.applied = applied_;
   heartbeat.holdings.clear();
-  std::map<LineKey, std::uint16_t> used;
+  std::map<LineKey, HoldingLine> holdings;
+  for (const Grant& it : GrantsInForce(now)) {
+    holdings[{it.target, it.work_class}] = {it.target, it.work_class, it.slots, 0};
+  }
   for (const InUse& it : in_use) {
-    const LineKey key{it.target, it.work_class};
-    used[key] = it.slots;
     if (it.slots > 0) {
-      lines_.try_emplace(key);
+      HoldingLine& line = holdings[{it.target, it.work_class}];
+      line = {it.target, it.work_class, std::max(line.held, it.slots), it.slots};
     }
   }
-  for (const auto& [key, line] : lines_) {
-    const auto it = used.find(key);
-    const std::uint16_t n = it == used.end() ? std::uint16_t{0} : it->second;
-    heartbeat.holdings.push_back({key.target, key.work_class, std::max(InForce(line, now), n), n});
+  for (const auto& [key, line] : holdings) {
+    heartbeat.holdings.push_back(line);
   }
 }
 
--- a/src/shares/internal/ledger.cc
+++ b/src/shares/internal/ledger.cc
@@ -135,47 +135,50 @@
 
 void Ledger::Report(Host& host, const Heartbeat& heartbeat, base::Instant now) {
   Lapse(host, now);
+  const bool was_settled = host.settled;
   host.sequence = heartbeat.sequence;
   host.silent_at = now + kGrantTerm;
   host.settled = heartbeat.epoch == epoch_;
-  const bool is_inherited =
-      IsRecovering(now) &&
-      std::find(unsettled_.begin(), unsettled_.end(), heartbeat.sender.ref) != unsettled_.end();
+  const auto unsettled = std::find(unsettled_.begin(), unsettled_.end(), heartbeat.sender.ref);
+  const bool is_inherited = IsRecovering(now) && unsettled != unsettled_.end();
+  std::map<LineKey, HoldingLine> reported;
+  for (const auto& [key, line] : host.lines) {
+    reported[key] = {key.target, key.work_class, 0, 0};
+  }
   for (const HoldingLine& it : heartbeat.holdings) {
-    if (host.settled) {
-      Update(host, {it.target, it.work_class},
-             [&](Line& line) { line.Acknowledge(heartbeat.applied); });
+    if (targets_.contains(it.target)) {
+      reported[{it.target, it.work_class}] = it;
+    }
+  }
+  for (const auto& [key, line] : reported) {
+    ReportLine(host, line, host.settled ? heartbeat.applied : 0, is_inherited, now);
+    if (!was_settled) {
+      // Until now the host may have had less than it reported, and replies could not raise it.
+      SetGrant(host, key, host.lines[key].held);
     }
-    ReportLine(host, it, is_inherited, now);
   }
-  if (host.settled) {
-    std::erase(unsettled_, heartbeat.sender.ref);
+  if (host.settled && unsettled != unsettled_.end()) {
+    unsettled_.erase(unsettled);
   }
   ReportDemand(host, heartbeat, now);
 }
 
-void Ledger::ReportLine(Host& host, const HoldingLine& reported, bool is_inherited,
-                        base::Instant now) {
+void Ledger::ReportLine(Host& host, const HoldingLine& reported, std::uint64_t applied,
+                        bool is_inherited, base::Instant now) {
   const LineKey key{reported.target, reported.work_class};
-  if (!targets_.contains(key.target)) {
-    return;
-  }
   const std::uint32_t room = Room(host, key, now);
   Update(host, key, [&](Line& line) {
-    // A host holds more than was told only by a report from before its grants lapsed.
-    const std::uint32_t most =
-        is_inherited ? reported.held : std::min<std::uint32_t>(reported.held, line.Claim() + room);
-    line.held = static_cast<std::uint16_t>(most);
+    // A host reports more than it was told only in a heartbeat from before its grants lapsed.
+    const std::uint32_t most = is_inherited ? reported.held : line.Claim() + room;
+    line.held = static_cast<std::uint16_t>(std::min<std::uint32_t>(reported.held, most));
     line.in_use = std::min(reported.in_use, line.held);
-    if (!host.settled) {
-      line.grant = line.held;
-    }
+    line.Acknowledge(applied);
     if (line.held > 0) {
       line.lapse_at =
           std::max(line.lapse_at, now + longest_deadlines_[ClassIndex(key.work_class)] + kMargin);
     }
   });
-  Service& service = services_[targets_[key.target].spec.service];
+  Service& service = services_[targets_.at(key.target).spec.service];
   if (is_inherited && host.moved_in) {
     service.moves.StartFrom(service.moved_in, now);
   }
--- a/src/shares/internal/ledger_division.cc
+++ b/src/shares/internal/ledger_division.cc
@@ -49,31 +49,37 @@
   return n;
 }
 
-std::uint32_t Ledger::Unmet(const DemandKey& key, base::Instant now) const {
-  std::uint32_t n = 0;
+Ledger::Needs Ledger::NeedsOf(const DemandKey& key, base::Instant now) const {
+  Needs needs;
   for (const auto& [ref, host] : hosts_) {
     const auto it = host.demand.find(key);
-    n += it != host.demand.end() && now < it->second.until ? it->second.unmet : 0;
+    if (it != host.demand.end() && now < it->second.until && it->second.unmet > 0) {
+      ++needs.hosts;
+      needs.slots += it->second.unmet;
+    }
   }
-  return n;
+  return needs;
 }
 
-std::uint32_t Ledger::NeedierUnmet(const Host& host, const DemandKey& key,
-                                   base::Instant now) const {
-  const auto own = host.demand.find(key);
-  const bool has_need = own != host.demand.end() && own->second.unmet > 0;
-  const auto own_rank = std::tuple(!has_need, host.moved_in, Granted(host, key),
-                                   has_need ? own->second.unmet_since : base::Instant::Never());
+std::uint32_t Ledger::SlotsOwedFirst(const Host& host, const DemandKey& key,
+                                     base::Instant now) const {
+  const Demand& own = host.demand.at(key);
+  const std::uint32_t own_granted = Granted(host, key);
   std::uint32_t n = 0;
   for (const auto& [ref, other] : hosts_) {
     const auto it = other.demand.find(key);
-    if (&other == &host || it == other.demand.end() || now >= it->second.until ||
-        it->second.unmet == 0) {
+    if (&other == &host || it == other.demand.end() || now >= it->second.until) {
       continue;
     }
-    const auto rank =
-        std::tuple(false, other.moved_in, Granted(other, key), it->second.unmet_since);
-    n += rank < own_rank ? it->second.unmet : 0;
+    const Demand& demand = it->second;
+    if (own.unmet == 0 || other.moved_in != host.moved_in) {
+      n += own.unmet == 0 || host.moved_in ? demand.unmet : 0;
+      continue;
+    }
+    const std::uint32_t granted = Granted(other, key);
+    const bool waits_longer = demand.unmet_since < own.unmet_since;
+    const std::uint32_t level = own_granted + (waits_longer ? 1 : 0);
+    n += level > granted ? std::min(demand.unmet, level - granted) : 0;
   }
   return n;
 }
@@ -130,8 +136,8 @@
 }
 
 bool Ledger::GrantOne(Host& host, const DemandKey& key, base::Instant now) {
-  const std::uint32_t needier = NeedierUnmet(host, key, now);
-  if (needier > 0 && FreeSlots(key) + Returning(key) <= needier) {
+  const std::uint32_t owed = SlotsOwedFirst(host, key, now);
+  if (owed > 0 && FreeSlots(key) + Returning(key) <= owed) {
     return false;
   }
   const LineKey* best = nullptr;
@@ -158,6 +164,7 @@
   const std::uint16_t grant = host.lines[best_key].grant;
   SetGrant(host, best_key, grant + 1);
   host.lines[best_key].keep_until = now + kKeepIdle;
+  host.demand[key].unmet_since = now;
   return true;
 }
 
@@ -166,18 +173,21 @@
   if (host.moved_in && service.moved_in >= service.moves.Allowed(service.moved_in, now)) {
     return;
   }
-  const std::uint32_t unmet = Unmet(key, now);
+  const Needs needs = NeedsOf(key, now);
   std::uint32_t coming = Returning(key) + FreeSlots(key);
-  while (coming < unmet && RecallOne(host, key, now)) {
+  while (coming < needs.slots && RecallOne(host, key, false, now)) {
     ++coming;
   }
+  if (!host.moved_in && coming < needs.hosts) {
+    RecallOne(host, key, true, now);
+  }
 }
 
-bool Ledger::RecallOne(const Host& host, const DemandKey& key, base::Instant now) {
+bool Ledger::RecallOne(const Host& host, const DemandKey& key, bool busy, base::Instant now) {
   const std::uint32_t own = Granted(host, key);
   Host* donor = nullptr;
   LineKey donor_key;
-  std::tuple<bool, std::uint32_t, bool, base::Duration> best;
+  std::tuple<std::uint32_t, bool, base::Duration> best;
   for (auto& [ref, other] : hosts_) {
     if (&other == &host) {
       continue;
@@ -186,21 +196,21 @@
     const bool is_wanting = demand != other.demand.end() && now < demand->second.until;
     const std::uint32_t wanted = is_wanting ? demand->second.wanted : 0;
     const std::uint32_t granted = Granted(other, key);
-    const bool has_surplus = Idle(other, key) > wanted;
-    const bool is_richer = !host.moved_in && (granted >= own + 2 || own == 0);
+    // With fewer slots than hosts they rotate, so that no host with demand starves.
+    const bool may_give = busy ? granted >= own + 2 || own == 0 : Idle(other, key) > wanted;
     for (const base::TargetKey t : services_.at(key.service).targets) {
       const auto it = other.lines.find({t, key.work_class});
-      if (it == other.lines.end() || it->second.grant == 0) {
+      if (!may_give || it == other.lines.end() || it->second.grant == 0) {
         continue;
       }
       const Line& line = it->second;
-      const bool is_idle = has_surplus && line.grant > line.in_use && now >= line.keep_until;
-      const bool is_due = is_richer && now >= line.keep_until + kKeepBusyLonger;
-      if (!is_idle && !is_due) {
+      const bool is_due = busy ? now >= line.keep_until + kKeepBusyLonger
+                               : line.grant > line.in_use && now >= line.keep_until;
+      if (!is_due) {
         continue;
       }
       const bool is_foreign_zone = targets_.at(t).spec.zone != other.info.zone;
-      const std::tuple score(is_idle, granted, is_foreign_zone, now - line.keep_until);
+      const std::tuple score(granted, is_foreign_zone, now - line.keep_until);
       if (donor == nullptr || score > best) {
         donor = &other;
         donor_key = it->first;
--- a/src/shares/ledger.h
+++ b/src/shares/ledger.h
@@ -121,6 +121,11 @@
     base::Instant until;
   };
 
+  struct Needs {
+    std::uint32_t hosts = 0;
+    std::uint32_t slots = 0;
+  };
+
   struct Host {
     membership::HostInfo info;
     std::uint64_t sequence = 0;
@@ -136,7 +141,8 @@
 
   Host& FindOrAdd(const Heartbeat& heartbeat);
   void Report(Host& host, const Heartbeat& heartbeat, base::Instant now);
-  void ReportLine(Host& host, const HoldingLine& reported, bool is_inherited, base::Instant now);
+  void ReportLine(Host& host, const HoldingLine& reported, std::uint64_t applied, bool is_inherited,
+                  base::Instant now);
   void ReportDemand(Host& host, const Heartbeat& heartbeat, base::Instant now);
   void Answer(Host& host, HeartbeatReply& reply, base::Instant now);
   void Lapse(Host& host, base::Instant now);
@@ -160,12 +166,14 @@
   void ServeDemand(Host& host, const DemandKey& key, base::Instant now);
   bool GrantOne(Host& host, const DemandKey& key, base::Instant now);
   void RecallFor(const Host& host, const DemandKey& key, base::Instant now);
-  bool RecallOne(const Host& host, const DemandKey& key, base::Instant now);
+  bool RecallOne(const Host& host, const DemandKey& key, bool busy, base::Instant now);
   std::uint32_t Granted(const Host& host, const DemandKey& key) const;
   std::uint32_t Idle(const Host& host, const DemandKey& key) const;
   std::uint32_t Returning(const DemandKey& key) const;
-  std::uint32_t Unmet(const DemandKey& key, base::Instant now) const;
-  std::uint32_t NeedierUnmet(const Host& host, const DemandKey& key, base::Instant now) const;
+  Needs NeedsOf(const DemandKey& key, base::Instant now) const;
+  /// Slots that come to other hosts before this one: hosts in the region go before others, then
+  /// those that hold less, then those that have waited longer.
+  std::uint32_t SlotsOwedFirst(const Host& host, const DemandKey& key, base::Instant now) const;
   std::uint32_t StandingShare(const Host& host, const DemandKey& key, base::Instant now) const;
 
   std::string region_;
--- a/src/shares/messages.h
+++ b/src/shares/messages.h
@@ -1,6 +1,5 @@
 // Messages between the members of a region (and hosts of other regions that ask for its slots) and
-// its coordinator, free of any encoding. Each line stands by itself, so a message may carry any
-// subset of lines.
+// its coordinator, free of any encoding.
 #pragma once
 
 #include <cstdint>
@@ -45,7 +44,9 @@
   /// applies no older reply any more.
   std::uint64_t applied = 0;
   std::string region;
+  /// Complete: the sender holds nothing of a line that is not listed.
   std::vector<HoldingLine> holdings;
+  /// May be a part; demand not repeated for 3 s is forgotten.
   std::vector<DemandLine> demand;
   std::vector<membership::LeavingMark> marks;
 
@@ -72,6 +73,7 @@
   std::uint64_t sequence = 0;
   base::Epoch epoch = 0;
   base::Revision table_revision = 0;
+  /// May be a part; a grant that is not listed runs out at its deadline.
   std::vector<GrantLine> grants;
   std::vector<membership::HostInfo> hosts;
   std::vector<membership::LeavingMark> marks;
