Serve one request end to end with separate processes

Caller -> look-up -> entry host -> target -> whole answer: the control thread owns membership, the region lease, grants and the table; traffic threads share one gate per service.

--- /dev/null
+++ b/src/app/internal/entry_host.cc
@@ -0,0 +1,141 @@
+// Implementation of app::EntryHost.
+#include "app/entry_host.h"
+
+#include <chrono>
+#include <random>
+#include <thread>
+
+#include "control/control_thread.h"
+#include "http/server.h"
+#include "store/http_store.h"
+#include "traffic/admin_api.h"
+#include "traffic/caller_api.h"
+#include "traffic/gate_set.h"
+
+namespace mangonotch::app {
+namespace {
+
+constexpr base::Duration kTicketLifetime = base::Duration::Seconds(15);
+constexpr base::Duration kExpirePause = base::Duration::Seconds(1);
+/// How often a draining host looks whether it may stop.
+constexpr auto kDrainCheck = std::chrono::milliseconds(50);
+
+base::Incarnation DrawIncarnation() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device() | 1U;
+}
+
+membership::HostInfo SelfOf(const settings::HostSettings& settings) {
+  return {.ref = {settings.host, settings.listen.peers, DrawIncarnation()},
+          .caller_address = settings.listen.callers,
+          .peer_http_address = settings.listen.peer_http,
+          .region = settings.region,
+          .zone = settings.zone};
+}
+
+std::vector<membership::HostInfo> SeedsOf(const settings::HostSettings& settings) {
+  std::vector<membership::HostInfo> seeds;
+  for (const settings::Seed& it : settings.seeds) {
+    seeds.push_back({.ref = {it.host, it.peers, 0},
+                     .caller_address = it.callers,
+                     .peer_http_address = it.peer_http,
+                     .region = it.region,
+                     .zone = it.zone});
+  }
+  return seeds;
+}
+
+http::ServerLimits LimitsOf(const settings::HostSettings& settings) {
+  http::ServerLimits limits;
+  limits.threads = static_cast<unsigned>(settings.limits.traffic_threads);
+  limits.read_timeout = settings.limits.header_time;
+  limits.idle_timeout = settings.limits.idle_time;
+  limits.body_bytes = settings.limits.body_bytes;
+  return limits;
+}
+
+ticket::Limits TicketLimitsOf(const settings::HostSettings& settings) {
+  ticket::Limits limits;
+  limits.max_entries = settings.limits.tickets;
+  limits.max_kept_bytes = settings.limits.ticket_bytes;
+  limits.lifetime = kTicketLifetime;
+  return limits;
+}
+
+}  // namespace
+
+class EntryHost::Impl {
+ public:
+  explicit Impl(const settings::HostSettings& settings)
+      : self_(SelfOf(settings)),
+        store_(settings.store),
+        tickets_(self_.ref.host, self_.ref.incarnation, TicketLimitsOf(settings)),
+        control_({.controller = {self_, SeedsOf(settings)},
+                  .peers = settings.listen.peers,
+                  .host_list = settings.host_list,
+                  .host_list_path = settings.host_list_path},
+                 store_, gates_, snapshots_),
+        dispatcher_(gates_, counters_,
+                    {.on_wait = [this] { control_.OnWait(); },
+                     .on_draining = [this](base::TargetKey it) { control_.OnDraining(it); }}),
+        callers_api_({self_.ref, self_.region, self_.zone}, snapshots_, dispatcher_, tickets_,
+                     counters_),
+        admin_api_({self_.ref, self_.region, self_.zone}, snapshots_, gates_, tickets_, counters_,
+                   control_.counters()),
+        expire_(kExpirePause, [this] { tickets_.Expire(); }),
+        callers_(Listen(settings.listen.callers, LimitsOf(settings),
+                        [this](const auto& it) { return callers_api_.Handle(it, false); })),
+        peers_(Listen(settings.listen.peer_http, LimitsOf(settings),
+                      [this](const auto& it) { return callers_api_.Handle(it, true); })),
+        admin_(Listen(settings.listen.admin, {.threads = 4},
+                      [this](const auto& it) { return admin_api_.Handle(it); })) {}
+
+  ~Impl() { store_.Stop(); }
+
+  void Drain() {
+    const control::SnapshotPtr snapshot = snapshots_.Load();
+    const std::uint32_t ttl_ms = snapshot->table ? snapshot->table->table().lookup_ttl_ms : 0;
+    control_.BeginStop();
+    tickets_.StopIssuing();
+    const base::Instant cached_until = http::Now() + base::Duration::Milliseconds(ttl_ms);
+    const base::Instant until = std::max(cached_until, tickets_.last_expiry());
+    while (http::Now() < until) std::this_thread::sleep_for(kDrainCheck);
+    callers_->Stop();
+    peers_->Stop();
+    admin_->Stop();
+  }
+
+ private:
+  static std::unique_ptr<http::Server> Listen(const std::string& address,
+                                              const http::ServerLimits& limits,
+                                              http::Server::Handler handler) {
+    const http::Endpoint endpoint = http::Endpoint::Parse(address);
+    return std::make_unique<http::Server>(endpoint.address, endpoint.port, limits,
+                                          std::move(handler));
+  }
+
+  const membership::HostInfo self_;
+  store::HttpStore store_;
+  traffic::GateSet gates_;
+  control::SnapshotCell snapshots_;
+  traffic::Counters counters_;
+  traffic::TicketDesk tickets_;
+  control::ControlThread<store::HttpStore, traffic::GateSet> control_;
+  traffic::Dispatcher dispatcher_;
+  traffic::CallerApi callers_api_;
+  traffic::AdminApi admin_api_;
+  control::Periodic expire_;
+  // Last members: requests use all others.
+  std::unique_ptr<http::Server> callers_;
+  std::unique_ptr<http::Server> peers_;
+  std::unique_ptr<http::Server> admin_;
+};
+
+EntryHost::EntryHost(const settings::HostSettings& settings)
+    : impl_(std::make_unique<Impl>(settings)) {}
+
+EntryHost::~EntryHost() = default;
+
+void EntryHost::Drain() { impl_->Drain(); }
+
+}  // namespace mangonotch::app
--- /dev/null
+++ b/src/control/internal/control_thread.inl
@@ -0,0 +1,269 @@
+// Implementation of control::ControlThread.
+#pragma once
+
+#include <utility>
+
+
+namespace mangonotch::control {
+
+inline constexpr std::string_view kTableKey = "table";
+/// The control thread looks at its timers at least this often.
+inline constexpr base::Duration kControlPeriod = base::Duration::Milliseconds(100);
+/// Long poll of the table, and the pause before a host that is no coordinator looks whether it has become one.
+inline constexpr base::Duration kWatchTime = base::Duration::Seconds(10);
+inline constexpr base::Duration kWatchPause = base::Duration::Milliseconds(250);
+inline constexpr base::Duration kHostListPause = base::Duration::Seconds(2);
+inline constexpr base::Duration kHealthPause = base::Duration::Seconds(1);
+inline constexpr base::Duration kHealthTime = base::Duration::Milliseconds(300);
+inline constexpr base::Duration kPullTime = base::Duration::Seconds(2);
+inline constexpr std::size_t kReceiveBytes = 2048;
+
+template <store::Store S, GatePort G>
+ControlThread<S, G>::ControlThread(ControlThreadSettings settings, S& store, G& gates,
+                                   SnapshotCell& snapshots)
+    : settings_(std::move(settings)),
+      store_(store),
+      gates_(gates),
+      snapshots_(snapshots),
+      socket_(wire::SocketAddress::Parse(settings_.peers)),
+      table_server_(wire::SocketAddress::Parse(settings_.peers)),
+      record_key_("region/" + settings_.controller.self.region),
+      thread_([this] { Run(); }),
+      table_watch_(kWatchPause, [this] { WatchTable(); }),
+      host_list_poll_(kHostListPause, [this] { PollHostList(); }),
+      health_poll_(kHealthPause, [this] { PollHealth(); }) {}
+
+template <store::Store S, GatePort G>
+ControlThread<S, G>::~ControlThread() {
+  is_stopping_ = true;
+  socket_.Wake();
+  thread_.join();
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Post(Event event) {
+  {
+    const std::lock_guard lock(mutex_);
+    events_.push_back(std::move(event));
+  }
+  socket_.Wake();
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::OnWait() {
+  // One wake-up serves all requests that start to wait before it is handled.
+  if (!is_demand_pending_.exchange(true)) socket_.Wake();
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::OnDraining(base::TargetKey target) {
+  Post([target](Controller& it, base::Instant now) { it.OnDraining(target, now); });
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::BeginStop() {
+  Post([](Controller& it, base::Instant now) { it.BeginStop(now); });
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Run() {
+  Controller controller(settings_.controller, http::Now());
+  std::vector<std::byte> buf(kReceiveBytes);
+  while (!is_stopping_) {
+    Receive(controller, buf, http::Now() + kControlPeriod);
+    RunEvents(controller);
+    if (is_demand_pending_.exchange(false)) controller.OnDemand(http::Now());
+    Apply(controller.TakeEffects(http::Now()));
+    if (controller.IsTickDue(http::Now())) {
+      gates_.Tick();
+      GateUsage usage;
+      if (controller.table()) usage = gates_.Usage(*controller.table());
+      controller.Tick(usage, http::Now());
+      Apply(controller.TakeEffects(http::Now()));
+    }
+    counters_.is_coordinator = controller.IsCoordinator(http::Now());
+    counters_.revision = controller.revision();
+    counters_.messages_refused = controller.refused_messages();
+  }
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Receive(Controller& controller, std::span<std::byte> buf,
+                                  base::Instant deadline) {
+  const wire::Received received = socket_.Receive(buf, deadline);
+  if (received.event == wire::ReceiveEvent::kOversized) ++counters_.messages_malformed;
+  if (received.event != wire::ReceiveEvent::kDatagram) return;
+  ++counters_.messages_in;
+  counters_.bytes_in += received.bytes.size();
+  try {
+    const wire::Packet packet = wire::Decode(received.bytes);
+    controller.OnMessage(packet.message, packet.sequence, http::Now());
+  } catch (const wire::DecodeError&) {
+    ++counters_.messages_malformed;
+  }
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::RunEvents(Controller& controller) {
+  std::vector<Event> events;
+  {
+    const std::lock_guard lock(mutex_);
+    events.swap(events_);
+  }
+  for (const Event& it : events) it(controller, http::Now());
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Apply(Effects effects) {
+  if (effects.table) {
+    gates_.Configure(*effects.table);
+    table_server_.Publish(std::make_shared<const wire::TableText>(
+        wire::TableText{effects.table->revision(), effects.table->text()}));
+  }
+  if (effects.snapshot) snapshots_.Store(effects.snapshot);
+  const SteeringTablePtr table = snapshots_.Load()->table;
+  if (table) {
+    for (const LeavingChange& it : effects.leaving) {
+      gates_.SetLeaving(*table, it.target, it.leaving);
+    }
+    if (!effects.grants.empty()) gates_.SetGrants(*table, effects.grants);
+  }
+  for (const Outgoing& it : effects.messages) Send(it);
+  if (effects.read_record) ReadRecord();
+  if (effects.write_record) WriteRecord(*effects.write_record);
+  if (effects.pull_table) Pull(*effects.pull_table);
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Send(const Outgoing& message) {
+  try {
+    wire::Encode(message.message, ++sequence_, send_buf_);
+    socket_.Send(wire::SocketAddress::Parse(message.to), send_buf_);
+    ++counters_.messages_out;
+    counters_.bytes_out += send_buf_.size();
+  } catch (const base::Error&) {
+    // A datagram may be lost at any time; the next heartbeat carries the same state.
+    ++counters_.messages_malformed;
+  }
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::ReadRecord() {
+  record_worker_.Post([this] {
+    ++counters_.store_reads;
+    const store::ReadResult result = store_.Get(record_key_);
+    if (result.status == store::ReadStatus::kNotFound) {
+      Post([](Controller& it, base::Instant now) { it.OnRecordRead(std::nullopt, 0, now); });
+      return;
+    }
+    if (result.status != store::ReadStatus::kFound) {
+      Post([](Controller& it, base::Instant now) { it.OnReadFailed(now); });
+      return;
+    }
+    try {
+      Post([record = wire::DecodeRecord(result.value), version = result.version](
+               Controller& it, base::Instant now) { it.OnRecordRead(record, version, now); });
+    } catch (const wire::DecodeError&) {
+      Post([](Controller& it, base::Instant now) { it.OnReadFailed(now); });
+    }
+  });
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::WriteRecord(const shares::WriteRecord& write) {
+  record_worker_.Post([this, write] {
+    ++counters_.store_writes;
+    const store::WriteResult result =
+        store_.Put(record_key_, wire::EncodeRecord(write.record), write.expected_version);
+    shares::WriteResult outcome = shares::WriteResult::kUnknown;
+    if (result.status == store::WriteStatus::kOk) outcome = shares::WriteResult::kAccepted;
+    if (result.status == store::WriteStatus::kConflict) outcome = shares::WriteResult::kConflict;
+    Post([outcome, version = result.version](Controller& it, base::Instant now) {
+      it.OnWriteDone(outcome, version, now);
+    });
+  });
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Pull(const PullTable& pull) {
+  pull_worker_.Post([this, pull] {
+    try {
+      const wire::TableText table = wire::PullTable(wire::SocketAddress::Parse(pull.peer_address),
+                                                    http::Now() + kPullTime);
+      Offer(table.text, table.revision, pull.peer_address);
+    } catch (const base::Error&) {
+      // The next message that names the revision leads to another pull.
+    }
+  });
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Offer(const std::string& text, base::Revision revision,
+                                const std::string& source) {
+  if (revision != 0 && revision <= counters_.revision) return;
+  try {
+    auto table = table::Table::Parse(text, source);
+    auto prepared = std::make_shared<const SteeringTable>(std::move(table), text);
+    Post([prepared](Controller& it, base::Instant now) { it.OnTable(prepared, now); });
+  } catch (const base::Error&) {
+    ++counters_.tables_refused;
+  }
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::WatchTable() {
+  if (is_stopping_) return;
+  // Every host reads the table once when it starts; after that only coordinators watch it.
+  const bool is_first = counters_.revision == 0 && table_version_ == 0;
+  if (!is_first && !IsCoordinator()) return;
+  ++counters_.store_reads;
+  const store::ReadResult result =
+      is_first ? store_.Get(std::string(kTableKey))
+               : store_.Watch(std::string(kTableKey), table_version_, kWatchTime);
+  if (result.status != store::ReadStatus::kFound) return;
+  table_version_ = result.version;
+  Offer(result.value, 0, "store");
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::PollHostList() {
+  if (settings_.host_list.empty() || !IsCoordinator()) return;
+  try {
+    const http::Response response = health_client_.Execute(
+        http::Endpoint::Parse(settings_.host_list),
+        {.method = "GET", .target = settings_.host_list_path, .headers = {}, .body = {}},
+        http::Now() + kPullTime);
+    if (response.status != 200) return;
+    auto entries = ParseHostList(response.body);
+    Post([entries = std::move(entries)](Controller& it, base::Instant) { it.OnHostList(entries); });
+  } catch (const base::Error&) {
+    // The list only adds knowledge; without it the known hosts stay.
+  }
+}
+
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::PollHealth() {
+  const SnapshotPtr snapshot = snapshots_.Load();
+  if (!IsCoordinator() || !snapshot->table) return;
+  const auto region = snapshot->table->FindRegion(settings_.controller.self.region);
+  for (const base::TargetKey target : snapshot->table->target_keys()) {
+    if (is_stopping_) return;
+    const TargetPlace& place = *snapshot->table->FindTarget(target);
+    if (place.region != region) continue;
+    const base::Instant asked_at = http::Now();
+    try {
+      const http::Response response = health_client_.Execute(
+          http::Endpoint::Parse(place.address),
+          {.method = "GET", .target = "/health", .headers = {}, .body = {}},
+          asked_at + kHealthTime);
+      const bool is_leaving = response.headers.Find("Draining").has_value();
+      Post([=](Controller& it, base::Instant now) {
+        it.OnHealth({target, is_leaving, asked_at}, now);
+      });
+    } catch (const base::Error&) {
+      // A target that does not answer is left to the gates' own observations.
+    }
+  }
+}
+
+}  // namespace mangonotch::control
--- a/src/control/internal/steering_table.cc
+++ b/src/control/internal/steering_table.cc
@@ -12,8 +12,8 @@
 
 template <typename Items>
 std::optional<std::uint32_t> FindByName(const Items& items, std::string_view name) {
-  const auto it = std::find_if(items.begin(), items.end(),
-                               [&](const auto& item) { return item.name == name; });
+  const auto it =
+      std::find_if(items.begin(), items.end(), [&](const auto& item) { return item.name == name; });
   if (it == items.end()) return std::nullopt;
   return static_cast<std::uint32_t>(it - items.begin());
 }
@@ -88,13 +88,13 @@
     const auto long_slots = LongSlots(targets, service.long_slot_percent);
     for (std::size_t i = 0; i < targets.size(); ++i) {
       const table::Target& target = *targets[i];
-      places_[target.key.value] = {.service = index,
-                                   .region = region,
-                                   .zone = target.zone,
-                                   .address = target.address,
-                                   .short_slots =
-                                       static_cast<std::uint16_t>(target.slots - long_slots[i]),
-                                   .long_slots = long_slots[i]};
+      places_[target.key.value] = {
+          .service = index,
+          .region = region,
+          .zone = target.zone,
+          .address = target.address,
+          .short_slots = static_cast<std::uint16_t>(target.slots - long_slots[i]),
+          .long_slots = long_slots[i]};
       target_keys_.push_back(target.key);
       const std::uint32_t weight = target.weight * ZoneWeight(service, target.zone);
       if (weight == 0 || RegionWeight(service, region) == 0) continue;
@@ -119,8 +119,7 @@
     for (const auto& it : service.regions) {
       if (it.weight == 0) continue;
       const auto moved =
-          others == 0 ? 0
-                      : static_cast<std::uint32_t>((kFullWeight - kept) * it.weight / others);
+          others == 0 ? 0 : static_cast<std::uint32_t>((kFullWeight - kept) * it.weight / others);
       list.push_back({it.region, it.region == home ? kept : moved});
     }
     const auto& distance = table_.regions[h].distance_ms;
--- /dev/null
+++ b/src/control/periodic.h
@@ -0,0 +1,30 @@
+// A thread that repeats one task, with a pause between two runs.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "base/duration.h"
+
+namespace mangonotch::control {
+
+class Periodic {
+ public:
+  Periodic(base::Duration pause, std::function<void()> task);
+  Periodic(const Periodic&) = delete;
+  Periodic& operator=(const Periodic&) = delete;
+  ~Periodic();  // Waits for the run in progress.
+
+ private:
+  void Run(base::Duration pause, const std::function<void()>& task);
+
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool is_stopping_ = false;  // Guarded by mutex_.
+  /// Last member: the thread uses all others.
+  std::thread thread_;
+};
+
+}  // namespace mangonotch::control
--- a/src/control/snapshot.h
+++ b/src/control/snapshot.h
@@ -1,4 +1,5 @@
-// What traffic threads know of the control state: immutable, replaced as a whole by the control thread.
+// What traffic threads know of the control state: immutable, replaced as a whole by the control
+// thread.
 #pragma once
 
 #include <memory>
--- a/src/control/steering_table.h
+++ b/src/control/steering_table.h
@@ -1,5 +1,5 @@
-// One table revision prepared for decisions: lookups by name and key, client blocks, and the order of regions for each
-// home region. Built once per revision, then read only.
+// One table revision prepared for decisions: lookups by name and key, client blocks, and the order
+// of regions for each home region. Built once per revision, then read only.
 #pragma once
 
 #include <cstddef>
@@ -49,8 +49,9 @@
   std::span<const admission::Target> TargetsOf(base::ServiceIndex service) const {
     return targets_[service.value];
   }
-  /// Regions that may serve a caller whose home is `home`, as the gate expects them. A home region whose weight is the
-  /// highest keeps all its work; a lower weight moves the difference to the others in proportion to their weights.
+  /// Regions that may serve a caller whose home is `home`, as the gate expects them. A home region
+  /// whose weight is the highest keeps all its work; a lower weight moves the difference to the
+  /// others in proportion to their weights.
   std::span<const admission::RegionPreference> PreferencesOf(base::ServiceIndex service,
                                                              base::RegionIndex home) const {
     return preferences_[service.value][home.value];
--- a/src/traffic/dispatcher.h
+++ b/src/traffic/dispatcher.h
@@ -1,5 +1,5 @@
-// Carries one request to targets: waits for a slot, sends it, repeats only what is safe to repeat, and says how it
-// ended.
+// Carries one request to targets: waits for a slot, sends it, repeats only what is safe to repeat,
+// and says how it ended.
 #pragma once
 
 #include <functional>
--- a/src/traffic/gate_set.h
+++ b/src/traffic/gate_set.h
@@ -32,7 +32,8 @@
   std::vector<std::shared_ptr<ServiceGate>> All() const;
 
   mutable std::mutex mutex_;
-  /// By service key; guarded by mutex_. A gate stays when its service leaves the table, as requests may be in flight.
+  /// By service key; guarded by mutex_. A gate stays when its service leaves the table, as requests
+  /// may be in flight.
   std::unordered_map<std::uint64_t, std::shared_ptr<ServiceGate>> gates_;
 };
 
--- a/src/traffic/internal/dispatcher.cc
+++ b/src/traffic/internal/dispatcher.cc
@@ -6,21 +6,20 @@
 #include <optional>
 #include <random>
 
-#include "base/endpoint.h"
 #include "http/clock.h"
 #include "retry/safe_to_repeat.h"
 
 namespace mangonotch::traffic {
 namespace {
 
-// A connect that takes longer fails over to another target; a worker takes about 1 ms per new connection and the
-// longest way between two regions is 110 ms there and back.
+// A connect that takes longer fails over to another target; a worker takes about 1 ms per new
+// connection and the longest way between two regions is 110 ms there and back.
 constexpr base::Duration kConnectTimeout = base::Duration::Milliseconds(500);
 constexpr std::size_t kMaxAttempts = 3;
 constexpr unsigned kShedStatus = 503;
 
-constexpr std::array<std::string_view, 6> kOwnHeaders = {"Host",        "Deadline-Ms",
-                                                         "Request-Id",  "Idempotency-Ticket",
+constexpr std::array<std::string_view, 6> kOwnHeaders = {"Host",           "Deadline-Ms",
+                                                         "Request-Id",     "Idempotency-Ticket",
                                                          "Content-Length", "Mangonotch-Forwarded"};
 
 bool IsOwnHeader(std::string_view name) {
@@ -36,16 +35,21 @@
 std::string Hex(std::uint64_t value) {
   static constexpr char kDigits[] = "0123456789abcdef";
   std::string text(16, '0');
-  for (int i = 15; i >= 0; --i, value >>= 4) text[static_cast<std::size_t>(i)] = kDigits[value & 15];
+  for (int i = 15; i >= 0; --i, value >>= 4)
+    text[static_cast<std::size_t>(i)] = kDigits[value & 15];
   return text;
 }
 
 RefusalReason ToReason(admission::RefusalReason reason) {
   switch (reason) {
-    case admission::RefusalReason::kDeadlinePassed: return RefusalReason::kDeadlinePassed;
-    case admission::RefusalReason::kExpectedWaitTooLong: return RefusalReason::kExpectedWait;
-    case admission::RefusalReason::kQueueFull: return RefusalReason::kQueueFull;
-    case admission::RefusalReason::kNoTarget: return RefusalReason::kNoTarget;
+    case admission::RefusalReason::kDeadlinePassed:
+      return RefusalReason::kDeadlinePassed;
+    case admission::RefusalReason::kExpectedWaitTooLong:
+      return RefusalReason::kExpectedWait;
+    case admission::RefusalReason::kQueueFull:
+      return RefusalReason::kQueueFull;
+    case admission::RefusalReason::kNoTarget:
+      return RefusalReason::kNoTarget;
   }
   return RefusalReason::kNoTarget;
 }
@@ -99,11 +103,10 @@
   const bool is_ticketed = static_cast<bool>(ticket.mark_dispatched);
   Outcome worst = Outcome::kNotRun;
   for (;;) {
-    const admission::Request wanted{
-        .work_class = plan.work_class,
-        .deadline = plan.deadline,
-        .regions = table.PreferencesOf(plan.service, plan.home),
-        .excluded = excluded};
+    const admission::Request wanted{.work_class = plan.work_class,
+                                    .deadline = plan.deadline,
+                                    .regions = table.PreferencesOf(plan.service, plan.home),
+                                    .excluded = excluded};
     const AcquireResult acquired = gate.Acquire(
         wanted, [&] { return request.CallerGone(); }, hooks_.on_wait);
     if (std::holds_alternative<CallerGone>(acquired)) {
@@ -161,7 +164,7 @@
   Counters::Add(counters_.attempts);
   try {
     if (place == nullptr) throw http::ClientError(http::Failure::kVetoed, false, "", "target gone");
-    attempt.response = client_.Execute(*base::ParseEndpoint(place->address),
+    attempt.response = client_.Execute(http::Endpoint::Parse(place->address),
                                        {.method = request.method,
                                         .target = plan.target_path,
                                         .headers = headers,
@@ -183,8 +186,8 @@
   return attempt;
 }
 
-/// Looks at a whole answer: whether it belongs to this request, whether the target is leaving, and whether another
-/// target should get the request instead.
+/// Looks at a whole answer: whether it belongs to this request, whether the target is leaving, and
+/// whether another target should get the request instead.
 void Dispatcher::Judge(const RequestPlan& plan, const std::string& request_id, Attempt& attempt) {
   if (attempt.response->headers.Find("Draining")) hooks_.on_draining(attempt.target);
   const auto echoed = attempt.response->headers.Find("Request-Id");
--- a/src/traffic/internal/gate_set.cc
+++ b/src/traffic/internal/gate_set.cc
@@ -42,8 +42,10 @@
   for (const shares::Grant& it : grants) {
     const control::TargetPlace* place = table.FindTarget(it.target);
     if (place == nullptr) continue;
-    by_service[place->service.value].push_back(
-        {.target = it.target, .work_class = it.work_class, .slots = it.slots, .deadline = it.deadline});
+    by_service[place->service.value].push_back({.target = it.target,
+                                                .work_class = it.work_class,
+                                                .slots = it.slots,
+                                                .deadline = it.deadline});
   }
   for (const auto& [service, list] : by_service) {
     const auto gate = Find(table.ServiceAt(base::ServiceIndex{service}).key);
@@ -72,8 +74,7 @@
   if (place == nullptr) return;
   const auto gate = Find(table.ServiceAt(place->service).key);
   if (!gate) return;
-  gate->Update(
-      [&](auto& it, base::Instant now) { it.ReportLoad(target, load_per_mille, now); });
+  gate->Update([&](auto& it, base::Instant now) { it.ReportLoad(target, load_per_mille, now); });
 }
 
 control::GateUsage GateSet::Usage(const control::SteeringTable& table) {
--- a/src/traffic/internal/request_plan.cc
+++ b/src/traffic/internal/request_plan.cc
@@ -40,7 +40,8 @@
   return std::find(methods.begin(), methods.end(), method) != methods.end();
 }
 
-/// Time allowed in milliseconds, at most `longest`; empty for a header that is not a positive number.
+/// Time allowed in milliseconds, at most `longest`; empty for a header that is not a positive
+/// number.
 std::optional<std::int64_t> AllowedMs(const http::Request& request, std::int64_t longest) {
   const auto header = request.Header("Deadline-Ms");
   if (!header) return longest;
@@ -78,8 +79,8 @@
   plan.work_class = route == nullptr ? base::WorkClass::kShort : route->work_class;
   plan.is_idempotent = IsIdempotent(route, request.method);
   plan.home = LocateCaller(table, request.peer, fallback).region;
-  const std::int64_t longest = plan.work_class == base::WorkClass::kShort ? entry.short_deadline_ms
-                                                                          : entry.long_deadline_ms;
+  const std::int64_t longest =
+      plan.work_class == base::WorkClass::kShort ? entry.short_deadline_ms : entry.long_deadline_ms;
   const auto allowed = AllowedMs(request, longest);
   if (!allowed) return Served::Refused(Outcome::kNotRun, RefusalReason::kBadRequest, 400);
   plan.deadline = now + base::Duration::Milliseconds(*allowed);
--- a/src/traffic/internal/service_gate.cc
+++ b/src/traffic/internal/service_gate.cc
@@ -8,8 +8,8 @@
 namespace mangonotch::traffic {
 namespace {
 
-// How often a waiting thread looks whether its caller is gone. A caller that leaves gives its place in the queue back
-// within this time.
+// How often a waiting thread looks whether its caller is gone. A caller that leaves gives its place
+// in the queue back within this time.
 constexpr auto kCallerCheckInterval = std::chrono::milliseconds(50);
 
 AcquireResult Widen(const std::variant<admission::Admitted, admission::Refused>& result) {
--- a/src/traffic/refusal_reason.h
+++ b/src/traffic/refusal_reason.h
@@ -8,14 +8,14 @@
 namespace mangonotch::traffic {
 
 enum class RefusalReason : std::uint8_t {
-  kNoTable,          // No table revision is in force on this host yet.
-  kNoService,        // The table has no such service.
-  kBadRequest,       // A header or parameter cannot be read.
-  kDeadlinePassed,   // From here the reasons of the gate.
+  kNoTable,         // No table revision is in force on this host yet.
+  kNoService,       // The table has no such service.
+  kBadRequest,      // A header or parameter cannot be read.
+  kDeadlinePassed,  // From here the reasons of the gate.
   kExpectedWait,
   kQueueFull,
   kNoTarget,
-  kCallerGone,       // The caller closed its connection while it waited.
+  kCallerGone,  // The caller closed its connection while it waited.
   kTicketRequired,
   kTicketMalformed,
   kTicketVoid,
@@ -26,11 +26,11 @@
   kTicketIssuerGone,
   kTicketsFull,
   kAnswerNotKept,
-  kOutcomeUnknown,   // The request was written and no whole answer came back.
-  kTargetsFailed,    // All attempts that were allowed failed.
-  kRetryBudget,      // A repeat would have been safe, but the retry budget was used up.
-  kMismatchedAnswer, // The answer carries the identifier of another request.
-  kLeaving,          // This host is stopping.
+  kOutcomeUnknown,    // The request was written and no whole answer came back.
+  kTargetsFailed,     // All attempts that were allowed failed.
+  kRetryBudget,       // A repeat would have been safe, but the retry budget was used up.
+  kMismatchedAnswer,  // The answer carries the identifier of another request.
+  kLeaving,           // This host is stopping.
 };
 inline constexpr std::size_t kRefusalReasons = 23;
 
@@ -39,9 +39,9 @@
 
 /// Why a failed attempt was repeated at another target.
 enum class RetryReason : std::uint8_t {
-  kNotSent,        // No byte was written: connect refused or timed out, or the grant had lapsed.
-  kFailed,         // An idempotent request got no whole answer.
-  kShed,           // The target refused an idempotent request with 503.
+  kNotSent,  // No byte was written: connect refused or timed out, or the grant had lapsed.
+  kFailed,   // An idempotent request got no whole answer.
+  kShed,     // The target refused an idempotent request with 503.
 };
 inline constexpr std::size_t kRetryReasons = 3;
 std::string_view Name(RetryReason reason);
--- a/src/traffic/request_plan.h
+++ b/src/traffic/request_plan.h
@@ -33,7 +33,8 @@
 topology::Location LocateCaller(const control::SteeringTable& table, std::string_view address,
                                 const Fallback& fallback);
 
-/// `request.path` is "/s/<service>/<path>". Returns a refusal for an unknown service or a bad deadline.
+/// `request.path` is "/s/<service>/<path>". Returns a refusal for an unknown service or a bad
+/// deadline.
 std::variant<RequestPlan, Served> PlanRequest(const control::SteeringTable& table,
                                               const http::Request& request,
                                               const Fallback& fallback, base::Instant now);
--- a/src/traffic/served.h
+++ b/src/traffic/served.h
@@ -19,9 +19,12 @@
 
 constexpr std::string_view Name(Outcome outcome) {
   switch (outcome) {
-    case Outcome::kAnswered: return "answered";
-    case Outcome::kNotRun: return "not-run";
-    case Outcome::kUnknown: return "unknown";
+    case Outcome::kAnswered:
+      return "answered";
+    case Outcome::kNotRun:
+      return "not-run";
+    case Outcome::kUnknown:
+      return "unknown";
   }
   return "unknown";
 }
--- a/src/traffic/service_gate.h
+++ b/src/traffic/service_gate.h
@@ -1,5 +1,5 @@
-// The gate of one service, shared by the traffic threads and the control thread: a mutex round the core gate, and the
-// threads that wait for a slot.
+// The gate of one service, shared by the traffic threads and the control thread: a mutex round the
+// core gate, and the threads that wait for a slot.
 #pragma once
 
 #include <condition_variable>
@@ -24,8 +24,8 @@
 
   explicit ServiceGate(const Gate::Settings& settings) : gate_(settings) {}
 
-  /// Blocks until the request has a slot, is refused, or `is_caller_gone` returns true. `on_wait` is called once, with
-  /// the gate unlocked, when the request has to wait.
+  /// Blocks until the request has a slot, is refused, or `is_caller_gone` returns true. `on_wait`
+  /// is called once, with the gate unlocked, when the request has to wait.
   AcquireResult Acquire(const admission::Request& request,
                         const std::function<bool()>& is_caller_gone,
                         const std::function<void()>& on_wait);
--- /dev/null
+++ b/tests/e2e/whole_path_test.cc
@@ -0,0 +1,59 @@
+// The whole path with separate processes: look-up, entry host, target, whole answer back; a filing
+// under a ticket; a planned stop.
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+
+#include "tests/support/deployment.h"
+
+namespace mangonotch::support {
+
+TEST_CASE("A caller looks an entry host up and gets the whole answer of a target") {
+  Deployment deployment({});
+  deployment.WaitUntilReady();
+
+  const auto lookup = deployment.Get(deployment.hosts[0].callers, "/v1/lookup?service=status");
+  REQUIRE(lookup.status == 200);
+  REQUIRE(lookup.body.find(deployment.hosts[0].callers) != std::string::npos);
+  REQUIRE(lookup.body.find("\"ttl_ms\": 1000") != std::string::npos);
+
+  for (const HostProcess& host : deployment.hosts) {
+    const auto answer = deployment.Get(host.callers, "/s/status/claims/7?full=1");
+    REQUIRE(answer.status == 200);
+    REQUIRE(answer.headers.Find("Mangonotch-Outcome") == "answered");
+  }
+}
+
+TEST_CASE("A filing needs a ticket and runs once, also when it is repeated at another host") {
+  Deployment deployment({});
+  deployment.WaitUntilReady();
+  const std::string& first = deployment.hosts[0].callers;
+
+  const auto refused = deployment.Post(first, "/s/status/filings", "claim 1");
+  REQUIRE(refused.status == 428);
+  REQUIRE(refused.headers.Find("Mangonotch-Outcome") == "not-run");
+  const std::string ticket(*refused.headers.Find("Idempotency-Ticket"));
+
+  const std::vector<http::HeaderView> headers = {{"Idempotency-Ticket", ticket}};
+  const auto run = deployment.Post(first, "/s/status/filings", "claim 1", headers);
+  REQUIRE(run.status == 200);
+  REQUIRE(run.headers.Find("Mangonotch-Outcome") == "answered");
+  for (const HostProcess& host : deployment.hosts) {
+    const auto repeat = deployment.Post(host.callers, "/s/status/filings", "claim 1", headers);
+    REQUIRE(repeat.headers.Find("Mangonotch-Outcome") == "answered");
+    REQUIRE(repeat.body == run.body);
+    REQUIRE(repeat.headers.Find("Request-Id") == run.headers.Find("Request-Id"));
+  }
+}
+
+TEST_CASE("A planned stop of an entry host ends in order") {
+  Deployment deployment({});
+  deployment.WaitUntilReady();
+  deployment.hosts[1].process->Signal(SIGTERM);
+  const auto answer = deployment.Get(deployment.hosts[1].callers, "/s/status/x");
+  REQUIRE(answer.status == 200);
+  REQUIRE(deployment.hosts[1].process->Wait(30'000) == 0);
+  REQUIRE(deployment.Get(deployment.hosts[0].callers, "/s/status/x").status == 200);
+}
+
+}  // namespace mangonotch::support
--- /dev/null
+++ b/tests/support/deployment.h
@@ -0,0 +1,99 @@
+// A small deployment of separate processes on loopback: the stand-ins, targets and entry hosts of a
+// few regions.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/client.h"
+#include "http/response.h"
+#include "tests/support/process.h"
+
+namespace mangonotch::support {
+
+struct ServiceSpec {
+  std::string name;
+  int targets_per_zone = 1;
+  int slots = 4;
+  int long_slot_percent = 25;
+  int short_ms = 5;
+};
+
+struct DeploymentSpec {
+  std::vector<std::string> regions = {"north"};
+  int zones_per_region = 2;
+  int hosts_per_region = 3;
+  std::vector<ServiceSpec> services = {{.name = "status"}};
+  int moved_in_cap_percent = 50;
+  int moved_in_ramp_percent_per_minute = 100;
+  int lookup_ttl_ms = 1000;
+};
+
+struct HostProcess {
+  std::string name;
+  std::string region;
+  std::string zone;
+  std::string callers;
+  std::string admin;
+  std::string settings_file;
+  std::unique_ptr<Process> process;
+};
+
+struct TargetProcess {
+  std::string service;
+  std::string zone;
+  std::string address;
+  std::unique_ptr<Process> process;
+};
+
+class Deployment {
+ public:
+  /// Starts the stand-ins and targets, writes the first table, then starts the hosts. Binaries are
+  /// found beside the test program's build folder. Throws base::Error when a process does not come
+  /// up.
+  explicit Deployment(const DeploymentSpec& spec);
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+  ~Deployment();
+
+  void StartHost(std::size_t host);
+  /// Waits until every running host has a table in force and slots can be had. Throws after 20 s.
+  void WaitUntilReady();
+
+  http::Response Get(const std::string& address, const std::string& target);
+  http::Response Post(const std::string& address, const std::string& target,
+                      const std::string& body = "",
+                      const std::vector<http::HeaderView>& headers = {});
+  /// As above, but gives the time allowed for the call.
+  http::Response Call(const std::string& address, const http::ClientRequest& request,
+                      base::Duration time);
+
+  std::string TableText(int revision) const;
+  const DeploymentSpec& spec() const { return spec_; }
+
+  std::vector<HostProcess> hosts;
+  std::vector<TargetProcess> targets;
+  std::string store_address;
+  std::string host_list_address;
+  std::unique_ptr<Process> store;
+  std::unique_ptr<Process> host_list;
+
+ private:
+  std::string FilePath(const std::string& name) const { return folder_ + "/" + name; }
+  std::unique_ptr<Process> Start(const std::string& name, std::vector<std::string> argv);
+  std::string ZoneEntries(int room) const;
+  void StartTargets();
+  void PlanHosts();
+  void WriteSettings(const HostProcess& host, const std::string& peers,
+                     const std::string& peer_http, const std::string& metrics,
+                     const std::string& seeds);
+
+  DeploymentSpec spec_;
+  std::string folder_;
+  http::Client client_;
+};
+
+}  // namespace mangonotch::support
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -1,4 +1,5 @@
-// A child process of an end-to-end test: started, watched by its output, signalled and ended by its process id.
+// A child process of an end-to-end test: started, watched by its output, signalled and ended by its
+// process id.
 #pragma once
 
 #include <sys/types.h>
@@ -20,7 +21,8 @@
   /// Waits at most 20 s for a line of output that starts with `prefix` and returns the rest of it.
   std::string WaitForLine(std::string_view prefix) const;
   void Signal(int signal_number) const;
-  /// Waits at most `milliseconds` for the process to end; -1 when it has not. Exit status otherwise.
+  /// Waits at most `milliseconds` for the process to end; -1 when it has not. Exit status
+  /// otherwise.
   int Wait(int milliseconds);
   void Kill();
 
