--- a/src/http/internal/client.cc
+++ b/src/http/internal/client.cc
@@ -130,7 +130,7 @@
     }
   }
 
-  void AwaitReady(short events) {
+  void AwaitReady(internal::PollEvents events) {
     switch (internal::Wait(socket_.fd(), events, deadline_, options_)) {
       case WaitResult::kReady:
         return;
--- a/src/http/internal/socket.cc
+++ b/src/http/internal/socket.cc
@@ -66,7 +66,7 @@
   }
 }
 
-WaitResult Wait(int fd, short events, base::Instant deadline, const ExecuteOptions& options) {
+WaitResult Wait(int fd, PollEvents events, base::Instant deadline, const ExecuteOptions& options) {
   const bool check_often = static_cast<bool>(options.cancelled);
   while (true) {
     const base::Instant now = Now();
--- a/src/http/internal/socket.h
+++ b/src/http/internal/socket.h
@@ -1,6 +1,8 @@
 // An owned socket and waiting with a deadline and cancellation.
 #pragma once
 
+#include <poll.h>
+
 #include <functional>
 #include <utility>
 
@@ -29,10 +31,12 @@
   int fd_ = -1;
 };
 
+using PollEvents = decltype(pollfd::events);
+
 enum class WaitResult { kReady, kTimeout, kCancelled };
 
 /// Waits until `fd` has one of `events` (or failed), the deadline passed or the call was cancelled.
-WaitResult Wait(int fd, short events, base::Instant deadline, const ExecuteOptions& options);
+WaitResult Wait(int fd, PollEvents events, base::Instant deadline, const ExecuteOptions& options);
 
 /// A non-blocking socket connected to `endpoint`. Throws ClientError.
 Socket Connect(const Endpoint& endpoint, base::Instant deadline, const ExecuteOptions& options);
--- a/src/http/tests/client_test.cc
+++ b/src/http/tests/client_test.cc
@@ -56,7 +56,7 @@
   return options;
 }
 
-const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr const char* kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 }  // namespace
 
@@ -197,8 +197,8 @@
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in addr = Loopback(0);
   socklen_t n = sizeof addr;
-  bind(fd, reinterpret_cast<sockaddr*>(&addr), sizeof addr);
-  listen(fd, 0);
+  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&addr), sizeof addr) == 0);
+  REQUIRE(listen(fd, 0) == 0);
   getsockname(fd, reinterpret_cast<sockaddr*>(&addr), &n);
   const std::uint16_t port = ntohs(addr.sin_port);
   const RawConnection first = RawConnection::To(port);
--- a/src/http/tests/raw_peer.h
+++ b/src/http/tests/raw_peer.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -93,9 +94,10 @@
   explicit RawTarget(Serve serve) : fd_(socket(AF_INET, SOCK_STREAM, 0)), serve_(std::move(serve)) {
     sockaddr_in addr = Loopback(0);
     socklen_t n = sizeof addr;
-    bind(fd_, reinterpret_cast<sockaddr*>(&addr), sizeof addr);
-    listen(fd_, 16);
-    getsockname(fd_, reinterpret_cast<sockaddr*>(&addr), &n);
+    if (bind(fd_, reinterpret_cast<sockaddr*>(&addr), sizeof addr) != 0 || listen(fd_, 16) != 0 ||
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&addr), &n) != 0) {
+      throw std::runtime_error("no free port");
+    }
     port_ = ntohs(addr.sin_port);
     thread_ = std::thread([this] { Run(); });
   }
--- a/standins/target/target_service.cc
+++ b/standins/target/target_service.cc
@@ -93,11 +93,19 @@
   ++counters_.runs;
   ++counters_.in_flight;
   counters_.peak_in_flight = std::max(counters_.peak_in_flight, counters_.in_flight);
-  load_history_[http::Now()] = counters_.in_flight;
+  NoteLoad();
   ++runs_[std::string(request.Header("Request-Id").value_or(""))];
   return job;
 }
 
+void TargetService::NoteLoad() {
+  constexpr std::size_t kLongestHistory = 100'000;
+  if (load_history_.size() >= kLongestHistory) {
+    load_history_.erase(load_history_.begin());
+  }
+  load_history_[http::Now()] = counters_.in_flight;
+}
+
 void TargetService::NoteDrain(base::Instant now) {
   ++counters_.while_draining;
   counters_.last_after_drain_ms = (now - drain_since_).milliseconds();
@@ -180,7 +188,7 @@
 void TargetService::End(WorkEnd end) {
   const std::lock_guard lock(mutex_);
   --counters_.in_flight;
-  load_history_[http::Now()] = counters_.in_flight;
+  NoteLoad();
   switch (end) {
     case WorkEnd::kDone:
       ++counters_.completed;
@@ -208,7 +216,8 @@
   const auto bytes = IntegerHeader(request, "Answer-Bytes").value_or(options_.answer_bytes);
   const std::string body(static_cast<std::size_t>(std::clamp<std::int64_t>(bytes, 2, 16 << 20)),
                          'x');
-  const std::string_view half = std::string_view(body).substr(0, body.size() / 2);
+  const std::string_view whole = body;
+  const std::string_view half = whole.substr(0, whole.size() / 2);
   const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
   constexpr std::string_view kChunked = "Transfer-Encoding: chunked\r\n";
   switch (job.spoil) {
--- a/standins/target/target_service.h
+++ b/standins/target/target_service.h
@@ -43,6 +43,7 @@
   std::int64_t ServiceMs(const http::Request& request);
   Entry Admit();
   Spoil NextSpoil();
+  void NoteLoad();
   void NoteDrain(base::Instant now);
 
   http::Response Health();
--- a/standins/tests/store_contract_test.cc
+++ b/standins/tests/store_contract_test.cc
@@ -82,8 +82,10 @@
 
 TEMPLATE_TEST_CASE("Of many writers against one version one wins", "", KvFixture, MemoryFixture) {
   TestType fixture;
+  constexpr int kWriters = 8;
   std::vector<std::future<WriteStatus>> writers;
-  for (int i = 0; i < 8; ++i) {
+  writers.reserve(kWriters);
+  for (int i = 0; i < kWriters; ++i) {
     writers.push_back(std::async(std::launch::async, [&, i] {
       return fixture.client().Put("k", store::kAbsent, std::to_string(i), In(kLongMs)).status;
     }));
