--- a/src/app/internal/entry_host.cc
+++ b/src/app/internal/entry_host.cc
@@ -68,7 +68,7 @@
  public:
   explicit Impl(const settings::HostSettings& settings)
       : self_(SelfOf(settings)),
-        store_(settings.store),
+        store_(http::Endpoint::Parse(settings.store)),
         tickets_(self_.ref.host, self_.ref.incarnation, TicketLimitsOf(settings)),
         control_({.controller = {self_, SeedsOf(settings)},
                   .peers = settings.listen.peers,
@@ -90,7 +90,7 @@
         admin_(Listen(settings.listen.admin, {.threads = 4},
                       [this](const auto& it) { return admin_api_.Handle(it); })) {}
 
-  ~Impl() { store_.Stop(); }
+  ~Impl() { store_.Cancel(); }
 
   void Drain() {
     const control::SnapshotPtr snapshot = snapshots_.Load();
--- a/src/control/internal/control_thread.inl
+++ b/src/control/internal/control_thread.inl
@@ -11,6 +11,8 @@
 inline constexpr base::Duration kControlPeriod = base::Duration::Milliseconds(100);
 /// Long poll of the table, and the pause before a host that is no coordinator looks whether it has become one.
 inline constexpr base::Duration kWatchTime = base::Duration::Seconds(10);
+/// The store answers in milliseconds; a call that takes this long meets an outage.
+inline constexpr base::Duration kStoreTime = base::Duration::Seconds(1);
 inline constexpr base::Duration kWatchPause = base::Duration::Milliseconds(250);
 inline constexpr base::Duration kHostListPause = base::Duration::Seconds(2);
 inline constexpr base::Duration kHealthPause = base::Duration::Seconds(1);
@@ -151,12 +153,12 @@
 void ControlThread<S, G>::ReadRecord() {
   record_worker_.Post([this] {
     ++counters_.store_reads;
-    const store::ReadResult result = store_.Get(record_key_);
+    const store::ReadResult result = store_.Get(record_key_, http::Now() + kStoreTime);
     if (result.status == store::ReadStatus::kNotFound) {
       Post([](Controller& it, base::Instant now) { it.OnRecordRead(std::nullopt, 0, now); });
       return;
     }
-    if (result.status != store::ReadStatus::kFound) {
+    if (result.status != store::ReadStatus::kOk) {
       Post([](Controller& it, base::Instant now) { it.OnReadFailed(now); });
       return;
     }
@@ -174,7 +176,8 @@
   record_worker_.Post([this, write] {
     ++counters_.store_writes;
     const store::WriteResult result =
-        store_.Put(record_key_, wire::EncodeRecord(write.record), write.expected_version);
+        store_.Put(record_key_, write.expected_version, wire::EncodeRecord(write.record),
+                   http::Now() + kStoreTime);
     shares::WriteResult outcome = shares::WriteResult::kUnknown;
     if (result.status == store::WriteStatus::kOk) outcome = shares::WriteResult::kAccepted;
     if (result.status == store::WriteStatus::kConflict) outcome = shares::WriteResult::kConflict;
@@ -218,9 +221,9 @@
   if (!is_first && !IsCoordinator()) return;
   ++counters_.store_reads;
   const store::ReadResult result =
-      is_first ? store_.Get(std::string(kTableKey))
-               : store_.Watch(std::string(kTableKey), table_version_, kWatchTime);
-  if (result.status != store::ReadStatus::kFound) return;
+      is_first ? store_.Get(kTableKey, http::Now() + kStoreTime)
+               : store_.Watch(kTableKey, table_version_, http::Now() + kWatchTime);
+  if (result.status != store::ReadStatus::kOk) return;
   table_version_ = result.version;
   Offer(result.value, 0, "store");
 }
