--- a/bench/lookup_bench.cc
+++ b/bench/lookup_bench.cc
@@ -47,8 +47,9 @@
   std::vector<topology::Address> clients;
   for (int i = 0; i < 65'536; ++i) {
     topology::Address client = blocks[random.Below(kBlocks)].prefix.address;
-    if (kind != Kind::kLongV6)
+    if (kind != Kind::kLongV6) {
       client.high += random.Next() & ~0ULL >> (kind == Kind::kV6 ? 48 : 24);
+    }
     clients.push_back(client);
   }
   std::size_t i = 0;
--- a/bench/pool_model.h
+++ b/bench/pool_model.h
@@ -144,8 +144,9 @@
     gate_.SetTargets(targets, At(0));
     gate_.SetGrants(grants, At(0));
     for (const auto work_class : {base::WorkClass::kShort, base::WorkClass::kLong}) {
-      if (ArrivalRate(work_class) > 0)
+      if (ArrivalRate(work_class) > 0) {
         Push(0, Kind::kArrival, static_cast<std::uint64_t>(work_class));
+      }
     }
     Push(0, Kind::kTick, 0);
     if (settings_.drain_at_seconds > 0) Push(settings_.drain_at_seconds, Kind::kDrain, 0);
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -162,7 +162,8 @@
       const auto it = std::find_if(regions.begin(), regions.end(),
                                    [&](const auto& r) { return r.region == region; });
       if (it == regions.end()) continue;
-      ++(it == regions.begin() ? demand.waiting : demand.waiting_otherwise);
+      auto& count = it == regions.begin() ? demand.waiting : demand.waiting_otherwise;
+      ++count;
     }
     return demand;
   }
@@ -253,8 +254,9 @@
         slots_.Refresh(chosen, request.work_class, now);
         continue;
       }
-      if (tier == Tier::kReserve && !IsWorthReserve(request, chosen, position, now))
-        return std::nullopt;
+      const bool is_worth_it =
+          tier == Tier::kPrimary || IsWorthReserve(request, chosen, position, now);
+      if (!is_worth_it) return std::nullopt;
       lane.load.OnTaken(*region, now);
       const Slot slot = slots_.Take(chosen, request.work_class, request.deadline, now);
       return Admitted{slot, slots_.targets()[chosen].target.key};
--- a/src/admission/internal/slot_table.cc
+++ b/src/admission/internal/slot_table.cc
@@ -142,7 +142,7 @@
   loads_[position].weight = weight * std::max(verdict.share, kMinShare);
   for (const auto work_class : kClasses) {
     const std::size_t i = ClassIndex(work_class);
-    const float share = std::ceil(verdict.share * state.classes[i].granted);
+    const float share = std::ceil(verdict.share * static_cast<float>(state.classes[i].granted));
     state.ramp_limits[i] =
         verdict.limits_slots ? static_cast<std::uint16_t>(std::max(share, 1.0F)) : kNoRampLimit;
     Refresh(position, work_class, now);
--- a/src/lookup/tests/directory_property_test.cc
+++ b/src/lookup/tests/directory_property_test.cc
@@ -12,6 +12,7 @@
   REQUIRE(rc::check("rank", [](const std::vector<std::array<std::uint8_t, 4>>& bytes,
                                std::uint64_t seed) {
     std::vector<HostEntry> hosts;
+    hosts.reserve(bytes.size());
     for (const auto& [place, room, leaving, weight] : bytes) {
       hosts.push_back({.region = {place % 5U},
                        .zone = {place % 10U},
@@ -31,12 +32,15 @@
       return (hosts[i].leaving ? 100 : 0) + (has_room(i) ? 0 : 10) + kOrder[hosts[i].region.value];
     };
     std::vector<int> costs;
+    costs.reserve(hosts.size());
     for (std::uint32_t i = 0; i < hosts.size(); ++i) costs.push_back(cost(i));
     std::sort(costs.begin(), costs.end());
     const auto stays = std::lower_bound(costs.begin(), costs.end(), 100);
     if (stays != costs.begin()) costs.erase(stays, costs.end());
     RC_ASSERT(out.size() == std::min(costs.size(), kMaxRankedHosts));
-    for (std::size_t i = 0; i < out.size(); ++i) RC_ASSERT(cost(out[i]) == costs[i]);
+    for (std::size_t i = 0; i < out.size(); ++i) {
+      RC_ASSERT(cost(out[i]) == costs[i]);
+    }
     RC_ASSERT((std::set(out.begin(), out.end()).size() == out.size()));
   }));
 }
--- a/src/placement/internal/target_health.cc
+++ b/src/placement/internal/target_health.cc
@@ -172,9 +172,10 @@
     for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
       region.needed_now[i] += static_cast<float>(member.in_use[i]) / Slowness(record, i);
       if (!member.is_open) continue;
-      region.slots[i] += member.slots[i];
-      region.ramped_slots[i] += member.slots[i] * Share(record, now);
-      all_slots[i] += member.slots[i];
+      const auto slots = static_cast<float>(member.slots[i]);
+      region.slots[i] += slots;
+      region.ramped_slots[i] += slots * Share(record, now);
+      all_slots[i] += slots;
     }
   }
   const double elapsed = (now - last_evaluation_).seconds();
@@ -198,7 +199,7 @@
   if (IsFailing(record)) return true;
   for (std::size_t i = 0; i < base::kWorkClasses; ++i) {
     if (member.slots[i] == 0) continue;
-    const float left = region.slots[i] - member.slots[i];
+    const float left = region.slots[i] - static_cast<float>(member.slots[i]);
     if (left <= 0 || left < region.needed[i] * settings_.floor_factor) return false;
   }
   return true;
@@ -228,7 +229,8 @@
     if (!record.is_ejected) continue;
     Region& region = regions_[member.region.value];
     ++region.ejected;
-    for (std::size_t i = 0; i < base::kWorkClasses; ++i) region.slots[i] -= member.slots[i];
+    for (std::size_t i = 0; i < base::kWorkClasses; ++i)
+      region.slots[i] -= static_cast<float>(member.slots[i]);
   }
 }
 
--- a/src/topology/address.h
+++ b/src/topology/address.h
@@ -1,7 +1,6 @@
 // IP addresses and prefixes as the client map uses them, with parsers for their usual text forms.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -15,7 +14,7 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
-  auto operator<=>(const Address&) const = default;
+  bool operator==(const Address&) const = default;
 };
 
 /// A block of addresses; bits of `address` past `length` are zero.
@@ -23,7 +22,7 @@
   Address address;
   std::uint8_t length = 0;
 
-  auto operator<=>(const Prefix&) const = default;
+  bool operator==(const Prefix&) const = default;
 };
 
 /// Dotted IPv4 or IPv6 text ("::ffff:1.2.3.4" becomes the IPv4 address); empty for anything else.
--- a/src/topology/client_map.h
+++ b/src/topology/client_map.h
@@ -21,7 +21,7 @@
   base::RegionIndex region;
   base::ZoneIndex zone;
 
-  auto operator<=>(const Location&) const = default;
+  bool operator==(const Location&) const = default;
 };
 
 struct ClientBlock {
--- a/src/topology/internal/client_map.cc
+++ b/src/topology/internal/client_map.cc
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 #include "base/error.h"
 
@@ -12,6 +13,13 @@
 constexpr const char* kStep = "read client blocks";
 constexpr std::uint8_t kHalfBits = 64;
 
+/// Sorts locations, to number the distinct ones.
+struct LocationOrder {
+  bool operator()(const Location& a, const Location& b) const {
+    return std::pair(a.region.value, a.zone.value) < std::pair(b.region.value, b.zone.value);
+  }
+};
+
 std::uint32_t V4Bits(const Address& address) {
   return static_cast<std::uint32_t>(address.high >> 32);
 }
@@ -34,7 +42,7 @@
 }
 
 void ClientMap::Build(std::span<const ClientBlock> blocks) {
-  std::map<Location, std::uint16_t> positions;
+  std::map<Location, std::uint16_t, LocationOrder> positions;
   std::vector<Block<std::uint32_t>> v4;
   std::vector<Block<std::uint64_t>> v6;
   std::vector<LongPrefixTable::LongBlock> long_v6;
--- a/src/topology/range_table.h
+++ b/src/topology/range_table.h
@@ -68,7 +68,9 @@
   struct Start {
     std::uint64_t high;
     std::uint64_t low;
-    auto operator<=>(const Start&) const = default;
+    bool operator<(const Start& other) const {
+      return high < other.high || (high == other.high && low < other.low);
+    }
   };
 
   /// The first range of each upper half starts at zero.
