--- a/src/membership/internal/members.cc
+++ b/src/membership/internal/members.cc
@@ -116,11 +116,8 @@
   }
   const bool is_second = is_same && member.sequence > 0;
   Hear(member, sender, sequence, now);
-  if (!is_second || member.attested) {
-    return {};
-  }
-  member.attested = true;
-  return {Refusal::kNone, sender.ref};
+  member.attested = member.attested || is_second;
+  return {Refusal::kNone, member.attested ? std::optional(sender.ref) : std::nullopt};
 }
 
 Receipt Members::OnChallenger(Member& member, const HostInfo& sender, std::uint64_t sequence,
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -41,7 +41,8 @@
 
 struct Receipt {
   Refusal refusal = Refusal::kNone;
-  /// Set when a new incarnation has replaced another at its peer address.
+  /// The sender, when it is the present incarnation at its peer address, so that all former ones
+  /// there are gone. The first message of an incarnation does not show that yet.
   std::optional<HostRef> attestation;
 };
 
--- /dev/null
+++ b/src/membership/tests/leaving_targets_test.cc
@@ -0,0 +1,62 @@
+// Guards against work sent to a target that is leaving because an old or lagging report cleared its
+// mark.
+#include "membership/leaving_targets.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::membership {
+
+namespace {
+
+constexpr base::TargetKey kTarget{7};
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+}  // namespace
+
+TEST_CASE("The first source marks a target; a report asked for before or soon after keeps it") {
+  LeavingTargets targets;
+  REQUIRE(targets.OnLeaving(kTarget, At(1000)));
+  REQUIRE_FALSE(targets.OnLeaving(kTarget, At(1100)));
+  REQUIRE_FALSE(targets.OnHealthReport(kTarget, false, At(900), At(1200)));
+  REQUIRE_FALSE(targets.OnHealthReport(kTarget, false, At(6000), At(6001)));
+  REQUIRE(targets.IsLeaving(kTarget));
+  REQUIRE(targets.OnHealthReport(kTarget, false, At(6100), At(6101)));
+  REQUIRE_FALSE(targets.IsLeaving(kTarget));
+}
+
+TEST_CASE("An old mark does not override a newer one, in whichever order they come") {
+  const LeavingMark older{kTarget, true, 1};
+  const LeavingMark newer{kTarget, false, 2};
+  for (const bool newer_first : {false, true}) {
+    LeavingTargets targets;
+    REQUIRE(targets.OnMarks(std::vector<LeavingMark>{newer_first ? newer : older}, At(0)));
+    REQUIRE(targets.OnMarks(std::vector<LeavingMark>{newer_first ? older : newer}, At(0)) ==
+            !newer_first);
+    REQUIRE_FALSE(targets.IsLeaving(kTarget));
+  }
+}
+
+TEST_CASE("Hosts that mark and clear with one generation end with the target leaving") {
+  LeavingTargets targets;
+  targets.OnMarks(std::vector<LeavingMark>{{kTarget, false, 2}}, At(0));
+  REQUIRE(targets.OnMarks(std::vector<LeavingMark>{{kTarget, true, 2}}, At(0)));
+  REQUIRE_FALSE(targets.OnMarks(std::vector<LeavingMark>{{kTarget, false, 2}}, At(0)));
+  REQUIRE(targets.IsLeaving(kTarget));
+}
+
+TEST_CASE("A fresh host that has just seen the target leave outbids the generation of its peers") {
+  LeavingTargets targets;
+  targets.OnLeaving(kTarget, At(0));
+  REQUIRE(targets.OnMarks(std::vector<LeavingMark>{{kTarget, false, 8}}, At(100)));
+  REQUIRE(targets.Marks() == std::vector<LeavingMark>{{kTarget, true, 9}});
+}
+
+TEST_CASE("Marks of targets that left the table are dropped") {
+  LeavingTargets targets;
+  targets.OnLeaving(kTarget, At(0));
+  targets.Retain({});
+  REQUIRE(targets.Marks().empty());
+}
+
+}  // namespace mangonotch::membership
--- a/src/shares/coordinator_lease.h
+++ b/src/shares/coordinator_lease.h
@@ -80,8 +80,10 @@
   void OnPromise(const Promise& promise, base::Instant now);
   /// Live hosts of the region, best coordinator first; leaving hosts are left out.
   void OnCandidates(std::span<const Candidate> candidates, base::Instant now);
-  /// A new incarnation answers at a peer address, so all others there are gone.
-  void OnAttestation(const membership::HostRef& newest, base::Instant now);
+  /// `present` has sent a message and is known as the present incarnation at its peer address, so
+  /// all former ones there are gone. To be called for each message, as incarnations have no order:
+  /// only a message from long after another incarnation was named shows that it came later.
+  void OnAttestation(const membership::HostRef& present, base::Instant now);
   /// The holder answered a heartbeat of this host.
   void OnHolderHeard(base::Epoch epoch, base::Instant now);
   /// Hosts that the next renewal names as grantees: Ledger::WantedGrantees, set before each Tick. A
@@ -115,10 +117,17 @@
   /// A standby that some record names which the store may hold.
   struct Standby {
     membership::HostRef ref;
+    /// When the first write that names it was sent.
+    base::Instant named_at;
     /// It takes over no earlier. Never when it is gone or has promised for ever.
     base::Instant covered_until;
   };
 
+  struct Attestation {
+    membership::HostRef present;
+    base::Instant heard_at;
+  };
+
   struct PromiseRound {
     std::uint64_t sequence = 0;
     base::Instant sent;
@@ -126,7 +135,8 @@
 
   bool OwnsRecord() const { return record_ && record_->holder == settings_.self; }
   bool IsNamedStandby() const;
-  bool IsGone(const membership::HostRef& host) const;
+  /// A message shows that `host`, which was live at `known_at` at the earliest, is gone.
+  bool IsGone(const membership::HostRef& host, base::Instant known_at) const;
   base::Instant hold_until() const;
   bool MayTakeOver(base::Instant now) const;
   bool IsRecordAbandoned(base::Instant now) const;
@@ -144,14 +154,14 @@
   void Confirm(const Attempt& attempt, std::uint64_t version);
   void AdoptForeign(const std::optional<RegionRecord>& record, std::uint64_t version,
                     base::Instant now);
-  void CountStandbys(const RegionRecord& record, base::Instant covered_until);
+  void CountStandbys(const RegionRecord& record, base::Instant sent);
 
   LeaseSettings settings_;
   bool stopped_ = false;
   std::vector<Candidate> candidates_;
   std::vector<membership::HostRef> grantees_;
-  /// Newest incarnation known at each peer address.
-  std::vector<membership::HostRef> newest_;
+  /// The last message from each peer address.
+  std::vector<Attestation> attestations_;
 
   /// Newest record known to be in the store, with its version.
   std::optional<RegionRecord> record_;
--- a/src/shares/internal/coordinator_lease.cc
+++ b/src/shares/internal/coordinator_lease.cc
@@ -8,6 +8,8 @@
 
 /// A host of lower rank waits longer before it creates a missing record, so that few hosts collide.
 constexpr base::Duration kCreateStep = base::Duration::Seconds(1);
+/// No message is older than this when it is read, in the network and the socket together.
+constexpr base::Duration kOldestMessage = base::Duration::Seconds(5);
 
 bool Contains(std::span<const membership::HostRef> hosts, const membership::HostRef& host) {
   return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
@@ -22,9 +24,7 @@
       term_until_(now),
       outage_until_(now),
       silent_at_(now + settings_.holder_silence),
-      created_at_(now) {
-  newest_.push_back(settings_.self);
-}
+      created_at_(now) {}
 
 base::Instant CoordinatorLease::hold_until() const {
   if (!OwnsRecord() || stopped_) {
@@ -47,9 +47,13 @@
   return record_ && Contains(record_->standbys, settings_.self);
 }
 
-bool CoordinatorLease::IsGone(const membership::HostRef& host) const {
-  return std::any_of(newest_.begin(), newest_.end(), [&](const membership::HostRef& it) {
-    return it.peer_address == host.peer_address && it.incarnation != host.incarnation;
+bool CoordinatorLease::IsGone(const membership::HostRef& host, base::Instant known_at) const {
+  if (host.peer_address == settings_.self.peer_address) {
+    return host.incarnation != settings_.self.incarnation;
+  }
+  return std::any_of(attestations_.begin(), attestations_.end(), [&](const Attestation& it) {
+    return it.present.peer_address == host.peer_address &&
+           it.present.incarnation != host.incarnation && it.heard_at >= known_at + kOldestMessage;
   });
 }
 
@@ -110,9 +114,11 @@
   if (now >= unchanged_since_ + settings_.store_outage_limit + kTerm + kMargin) {
     return true;
   }
-  return IsGone(record_->holder) &&
-         std::all_of(record_->standbys.begin(), record_->standbys.end(),
-                     [this](const membership::HostRef& it) { return IsGone(it); });
+  const auto is_gone = [this](const membership::HostRef& it) {
+    return IsGone(it, unchanged_since_);
+  };
+  return is_gone(record_->holder) &&
+         std::all_of(record_->standbys.begin(), record_->standbys.end(), is_gone);
 }
 
 bool CoordinatorLease::MayCreate(base::Instant now) const {
@@ -136,7 +142,7 @@
   write_in_progress_ = true;
   next_write_ = now + kRenewInterval;
   if (OwnsRecord()) {
-    CountStandbys(record, now + kTerm);
+    CountStandbys(record, now);
   }
   attempts_.push_back({record, version_, now});
   out.emplace_back(WriteRecord{std::move(record), version_});
@@ -155,7 +161,7 @@
   for (const bool other_zone : {true, false}) {
     for (const Candidate& it : candidates_) {
       const bool is_match = (it.zone != settings_.zone) == other_zone;
-      if (is_match && chosen.size() < kMaxStandbys && it.ref != settings_.self && !IsGone(it.ref)) {
+      if (is_match && chosen.size() < kMaxStandbys && it.ref != settings_.self) {
         chosen.push_back(it.ref);
       }
     }
@@ -191,12 +197,13 @@
   return record;
 }
 
-void CoordinatorLease::CountStandbys(const RegionRecord& record, base::Instant covered_until) {
+void CoordinatorLease::CountStandbys(const RegionRecord& record, base::Instant sent) {
   for (const membership::HostRef& it : record.standbys) {
     const bool is_known = std::any_of(standbys_.begin(), standbys_.end(),
                                       [&](const Standby& s) { return s.ref == it; });
     if (!is_known) {
-      standbys_.push_back({it, IsGone(it) ? base::Instant::Never() : covered_until});
+      // It reads the record after `sent`, and takes over a term and a margin later.
+      standbys_.push_back({it, sent, sent + kTerm});
     }
   }
 }
@@ -240,7 +247,7 @@
   attempts_.clear();
   std::erase_if(standbys_,
                 [this](const Standby& it) { return !Contains(record_->standbys, it.ref); });
-  CountStandbys(*record_, term_until_);
+  CountStandbys(*record_, attempt.sent);
 }
 
 LeaseDecisions CoordinatorLease::OnRecordRead(const std::optional<RegionRecord>& record,
@@ -327,10 +334,11 @@
     if (it.ref.peer_address != promise.sender.peer_address) {
       continue;
     }
+    const bool is_answer = round != rounds_.end() && round->sent >= it.named_at;
     const bool is_successor = it.ref.incarnation != promise.sender.incarnation;
-    if (is_successor ? round != rounds_.end() : promise.forever) {
+    if (is_successor ? is_answer : promise.forever) {
       it.covered_until = base::Instant::Never();
-    } else if (!is_successor && round != rounds_.end()) {
+    } else if (is_answer) {
       it.covered_until = std::max(it.covered_until, round->sent + kPromiseTerm);
     }
   }
@@ -341,19 +349,17 @@
   candidates_.assign(candidates.begin(), candidates.end());
 }
 
-void CoordinatorLease::OnAttestation(const membership::HostRef& newest, base::Instant now) {
-  if (newest.peer_address == settings_.self.peer_address) {
+void CoordinatorLease::OnAttestation(const membership::HostRef& present, base::Instant now) {
+  std::erase_if(attestations_, [&](const Attestation& it) {
+    return it.present.peer_address == present.peer_address;
+  });
+  attestations_.push_back({present, now});
+  if (!IsHolder(now)) {
     return;
   }
-  std::erase_if(newest_, [&](const membership::HostRef& it) {
-    return it.peer_address == newest.peer_address;
-  });
-  newest_.push_back(newest);
-  if (IsHolder(now)) {
-    for (Standby& it : standbys_) {
-      if (IsGone(it.ref)) {
-        it.covered_until = base::Instant::Never();
-      }
+  for (Standby& it : standbys_) {
+    if (IsGone(it.ref, it.named_at)) {
+      it.covered_until = base::Instant::Never();
     }
   }
 }
--- /dev/null
+++ b/src/shares/tests/holdings_test.cc
@@ -0,0 +1,103 @@
+// Guards against slots used after their grant has ended, and against replies that were delayed,
+// repeated or sent by a coordinator of the past.
+#include "shares/holdings.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::shares {
+
+namespace {
+
+constexpr base::TargetKey kTarget{7};
+constexpr base::WorkClass kShort = base::WorkClass::kShort;
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+HeartbeatReply Reply(base::Epoch epoch, std::uint64_t sequence, std::uint16_t slots) {
+  HeartbeatReply reply;
+  reply.epoch = epoch;
+  reply.sequence = sequence;
+  reply.grants = {{kTarget, kShort, slots}};
+  return reply;
+}
+
+Heartbeat Send(Holdings& holdings, base::Instant now, std::uint16_t in_use = 0) {
+  Heartbeat heartbeat;
+  const InUse used[] = {{kTarget, kShort, in_use}};
+  holdings.FillHeartbeat(used, now, heartbeat);
+  return heartbeat;
+}
+
+std::uint16_t Slots(Holdings& holdings, base::Instant now) {
+  const auto grants = holdings.GrantsInForce(now);
+  return grants.empty() ? std::uint16_t{0} : grants[0].slots;
+}
+
+/// Knows epoch 1 and has sent heartbeats 1 and 2 at 0 ms and 1,000 ms.
+Holdings Settled() {
+  Holdings holdings;
+  Send(holdings, At(0));
+  holdings.OnReply(Reply(1, 1, 0), At(10));
+  Send(holdings, At(1000));
+  return holdings;
+}
+
+}  // namespace
+
+TEST_CASE("A grant ends 8 s after its heartbeat was sent, however late the reply comes") {
+  Holdings holdings = Settled();
+  REQUIRE(holdings.OnReply(Reply(1, 2, 3), At(6000)));
+  REQUIRE(Slots(holdings, At(8999)) == 3);
+  REQUIRE(Slots(holdings, At(9000)) == 0);
+}
+
+TEST_CASE("Repeated, older and unknown replies change nothing") {
+  Holdings holdings = Settled();
+  Send(holdings, At(1500));
+  REQUIRE(holdings.OnReply(Reply(1, 3, 1), At(1600)));
+  REQUIRE_FALSE(holdings.OnReply(Reply(1, 3, 2), At(1700)));
+  REQUIRE_FALSE(holdings.OnReply(Reply(1, 2, 2), At(1700)));
+  REQUIRE_FALSE(holdings.OnReply(Reply(1, 9, 2), At(1700)));
+  REQUIRE(Slots(holdings, At(1700)) == 1);
+}
+
+TEST_CASE("A reply of a lower epoch is not applied") {
+  Holdings holdings = Settled();
+  Send(holdings, At(1500));
+  REQUIRE(holdings.OnReply(Reply(2, 2, 0), At(1600)));
+  REQUIRE_FALSE(holdings.OnReply(Reply(1, 3, 2), At(1700)));
+  REQUIRE(Slots(holdings, At(1700)) == 0);
+}
+
+TEST_CASE("A new coordinator's reply to a heartbeat from before raises nothing") {
+  // It may stem from a heartbeat that still reported slots given back since.
+  Holdings holdings = Settled();
+  holdings.OnReply(Reply(1, 2, 1), At(1100));
+  Send(holdings, At(1500));
+  Send(holdings, At(2000));
+  REQUIRE(holdings.OnReply(Reply(2, 3, 3), At(2100)));
+  REQUIRE(Slots(holdings, At(2100)) == 1);
+  REQUIRE(holdings.OnReply(Reply(2, 4, 3), At(2200)));
+  REQUIRE(Slots(holdings, At(2200)) == 1);
+  Send(holdings, At(2500));
+  REQUIRE(holdings.OnReply(Reply(2, 5, 3), At(2600)));
+  REQUIRE(Slots(holdings, At(2600)) == 3);
+}
+
+TEST_CASE("Slots recalled or lapsed while in use count as held until their work ends") {
+  Holdings holdings = Settled();
+  holdings.OnReply(Reply(1, 2, 3), At(1100));
+  REQUIRE(Send(holdings, At(1500), 2).holdings ==
+          std::vector<HoldingLine>{{kTarget, kShort, 3, 2}});
+  holdings.OnReply(Reply(1, 3, 1), At(1600));
+  const Heartbeat recalled = Send(holdings, At(2000), 2);
+  REQUIRE(recalled.holdings == std::vector<HoldingLine>{{kTarget, kShort, 2, 2}});
+  REQUIRE(recalled.applied == 3);
+  REQUIRE(Send(holdings, At(2500), 0).holdings ==
+          std::vector<HoldingLine>{{kTarget, kShort, 1, 0}});
+  REQUIRE(Send(holdings, At(30'000), 1).holdings ==
+          std::vector<HoldingLine>{{kTarget, kShort, 1, 1}});
+  REQUIRE(Send(holdings, At(30'500), 0).holdings.empty());
+}
+
+}  // namespace mangonotch::shares
