Start steering only with the newest revision known; count and log changes of state

The publication state now judges every offered table, so a host that starts waits for its peers' revisions. Counters of the traffic and control threads are prometheus-cpp metrics at /metrics; log lines appear only on a change of state.

--- a/src/app/internal/commands.cc
+++ b/src/app/internal/commands.cc
@@ -14,6 +14,7 @@
 #include "app/entry_host.h"
 #include "base/error.h"
 #include "jsonc/fault.h"
+#include "logging/log.h"
 #include "settings/host_settings.h"
 #include "table/table.h"
 
@@ -41,6 +42,7 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
+  logging::SetUp(static_cast<logging::Level>(settings.log_level));
   EntryHost host(settings);
   out << "serving " << settings.listen.callers << std::endl;
   int signal_number = 0;
--- a/src/app/internal/entry_host.cc
+++ b/src/app/internal/entry_host.cc
@@ -7,6 +7,8 @@
 
 #include "control/control_thread.h"
 #include "http/server.h"
+#include "metrics/exposer.h"
+#include "metrics/registry.h"
 #include "store/http_store.h"
 #include "traffic/admin_api.h"
 #include "traffic/caller_api.h"
@@ -69,19 +71,20 @@
   explicit Impl(const settings::HostSettings& settings)
       : self_(SelfOf(settings)),
         store_(http::Endpoint::Parse(settings.store)),
+        exposer_(registry_, settings.listen.metrics),
         tickets_(self_.ref.host, self_.ref.incarnation, TicketLimitsOf(settings)),
         control_({.controller = {self_, SeedsOf(settings)},
                   .peers = settings.listen.peers,
                   .host_list = settings.host_list,
                   .host_list_path = settings.host_list_path},
-                 store_, gates_, snapshots_),
+                 store_, gates_, snapshots_, control_counters_),
         dispatcher_(gates_, counters_,
                     {.on_wait = [this] { control_.OnWait(); },
                      .on_draining = [this](base::TargetKey it) { control_.OnDraining(it); }}),
         callers_api_({self_.ref, self_.region, self_.zone}, snapshots_, dispatcher_, tickets_,
                      counters_),
         admin_api_({self_.ref, self_.region, self_.zone}, snapshots_, gates_, tickets_, counters_,
-                   control_.counters()),
+                   control_counters_),
         expire_(kExpirePause, [this] { tickets_.Expire(); }),
         callers_(Listen(settings.listen.callers, LimitsOf(settings),
                         [this](const auto& it) { return callers_api_.Handle(it, false); })),
@@ -118,7 +121,10 @@
   store::HttpStore store_;
   traffic::GateSet gates_;
   control::SnapshotCell snapshots_;
-  traffic::Counters counters_;
+  metrics::Registry registry_;
+  metrics::Exposer exposer_;
+  traffic::Counters counters_{registry_};
+  control::ControlCounters control_counters_{registry_};
   traffic::TicketDesk tickets_;
   control::ControlThread<store::HttpStore, traffic::GateSet> control_;
   traffic::Dispatcher dispatcher_;
--- a/src/control/control_counters.h
+++ b/src/control/control_counters.h
@@ -1,21 +1,27 @@
-// Numbers that the control thread writes for metrics and the status page.
+// Counts of the control thread, as metrics, and the state that status pages show.
 #pragma once
 
 #include <atomic>
 #include <cstdint>
 
+#include "metrics/registry.h"
+
 namespace mangonotch::control {
 
 struct ControlCounters {
-  std::atomic<std::uint64_t> messages_in{0};
-  std::atomic<std::uint64_t> messages_out{0};
-  std::atomic<std::uint64_t> bytes_in{0};
-  std::atomic<std::uint64_t> bytes_out{0};
-  std::atomic<std::uint64_t> messages_refused{0};
-  std::atomic<std::uint64_t> messages_malformed{0};
-  std::atomic<std::uint64_t> store_reads{0};
-  std::atomic<std::uint64_t> store_writes{0};
-  std::atomic<std::uint64_t> tables_refused{0};
+  explicit ControlCounters(metrics::Registry& registry);
+
+  metrics::Counter messages_in;
+  metrics::Counter messages_out;
+  metrics::Counter bytes_in;
+  metrics::Counter bytes_out;
+  /// From strangers or replaced incarnations.
+  metrics::Counter messages_refused;
+  metrics::Counter messages_malformed;
+  metrics::Counter store_reads;
+  metrics::Counter store_writes;
+  metrics::Counter store_failures;
+  metrics::Counter tables_refused;
   std::atomic<std::uint64_t> revision{0};
   std::atomic<bool> is_coordinator{false};
 };
--- a/src/control/control_thread.h
+++ b/src/control/control_thread.h
@@ -43,7 +43,8 @@
 class ControlThread {
  public:
   /// Binds the peer address and starts. Throws base::Error when the address cannot be bound.
-  ControlThread(ControlThreadSettings settings, S& store, G& gates, SnapshotCell& snapshots);
+  ControlThread(ControlThreadSettings settings, S& store, G& gates, SnapshotCell& snapshots,
+                ControlCounters& counters);
   ControlThread(const ControlThread&) = delete;
   ControlThread& operator=(const ControlThread&) = delete;
   ~ControlThread();
@@ -52,7 +53,6 @@
   void OnWait();
   void OnDraining(base::TargetKey target);
   void BeginStop();
-  const ControlCounters& counters() const { return counters_; }
 
  private:
   using Event = std::function<void(Controller&, base::Instant)>;
@@ -62,12 +62,14 @@
   void Run();
   void Receive(Controller& controller, std::span<std::byte> buf, base::Instant deadline);
   void RunEvents(Controller& controller);
+  void Report(const Controller& controller);
+  void NoteStore(bool has_answered);
   void Apply(Effects effects);
   void Send(const Outgoing& message);
   void ReadRecord();
   void WriteRecord(const shares::WriteRecord& write);
   void Pull(const PullTable& pull);
-  void Offer(const std::string& text, base::Revision revision, const std::string& source);
+  void Offer(publication::Source source, const std::string& text, const std::string& peer);
   void WatchTable();
   void PollHostList();
   void PollHealth();
@@ -77,13 +79,17 @@
   S& store_;
   G& gates_;
   SnapshotCell& snapshots_;
-  ControlCounters counters_;
+  ControlCounters& counters_;
   wire::UdpSocket socket_;
   wire::TableServer table_server_;
   const std::string record_key_;
-  std::uint64_t sequence_ = 0;       // Of the control thread.
-  std::vector<std::byte> send_buf_;  // Of the control thread.
-  std::uint64_t table_version_ = 0;  // Of the table watch: the store's version it has seen.
+  std::uint64_t sequence_ = 0;          // Of the control thread.
+  std::vector<std::byte> send_buf_;     // Of the control thread.
+  SteeringTablePtr table_;              // Of the control thread: the table that the gates have.
+  std::uint64_t table_version_ = 0;     // Of the table watch: the store's version it has seen.
+  bool is_steering_ = false;            // Of the control thread.
+  std::uint64_t refused_messages_ = 0;  // Of the control thread: those counted so far.
+  std::atomic<bool> has_store_answered_{true};
   std::atomic<bool> is_stopping_{false};
   std::atomic<bool> is_demand_pending_{false};
   std::mutex mutex_;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -17,6 +17,7 @@
 #include "control/snapshot.h"
 #include "membership/leaving_targets.h"
 #include "membership/members.h"
+#include "publication/table_state.h"
 #include "shares/coordinator_lease.h"
 #include "shares/ledger.h"
 #include "wire/message.h"
@@ -42,7 +43,9 @@
 
   void OnMessage(const wire::Message& message, std::uint64_t packet_sequence, base::Instant now);
   /// A table that has passed its checks, from the store or a peer.
-  void OnTable(SteeringTablePtr table, base::Instant now);
+  void OnTable(publication::Source source, SteeringTablePtr table, base::Instant now);
+  /// The store answered that it holds no table.
+  void OnEmptyStore() { table_state_.NoteEmptyStore(); }
   void OnRecordRead(const std::optional<shares::RegionRecord>& record, std::uint64_t version,
                     base::Instant now);
   void OnReadFailed(base::Instant now);
@@ -70,6 +73,8 @@
   base::Revision revision() const { return table_ ? table_->revision() : 0; }
   const SteeringTablePtr& table() const { return table_; }
   std::uint64_t refused_messages() const { return refused_messages_; }
+  /// False while a newer revision than this host's may be in force elsewhere.
+  bool is_steering() const { return is_steering_; }
   std::vector<shares::ServiceUse> LedgerUses() const { return ledger_.Uses(); }
 
  private:
@@ -102,6 +107,7 @@
   void AdoptTable(SteeringTablePtr table, base::Instant now);
   void ConfigureLedger(base::Instant now);
   void OnMarksChanged(base::Instant now);
+  void ForgetDeadPeers(base::Instant now);
   void NoteCoordinator(const std::string& region, const membership::HostRef& host,
                        base::Epoch epoch, base::Instant now);
   RegionLink& LinkOf(const std::string& region);
@@ -116,13 +122,16 @@
   shares::Ledger ledger_;
   /// Epoch that the ledger has begun, 0 before the first.
   base::Epoch ledger_epoch_ = 0;
-  /// The table in force, null before the first.
+  publication::TableState table_state_;
+  /// The table in force, null before the first; prepared from that of `table_state_`.
   SteeringTablePtr table_;
   /// By region. A host talks with its own region's coordinator always, with others on demand.
   std::map<std::string, RegionLink> links_;
   using GrantedLine = std::pair<base::TargetKey, base::WorkClass>;
   /// Lines with slots that the gates were told of, sorted.
   std::vector<GrantedLine> grants_in_gates_;
+  /// Live hosts at the last look, sorted.
+  std::vector<base::HostId> known_live_;
   /// Targets that the gates know as leaving.
   std::vector<base::TargetKey> leaving_in_gates_;
   base::Instant next_lease_tick_;
@@ -130,6 +139,7 @@
   base::Instant next_snapshot_;
   base::Revision pull_revision_ = 0;
   base::Instant next_pull_;
+  bool is_steering_ = false;
   bool is_snapshot_stale_ = true;
   bool are_grants_stale_ = false;
   std::uint64_t refused_messages_ = 0;
--- a/src/control/internal/control_thread.inl
+++ b/src/control/internal/control_thread.inl
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "logging/log.h"
+
 
 namespace mangonotch::control {
 
@@ -22,11 +24,12 @@
 
 template <store::Store S, GatePort G>
 ControlThread<S, G>::ControlThread(ControlThreadSettings settings, S& store, G& gates,
-                                   SnapshotCell& snapshots)
+                                   SnapshotCell& snapshots, ControlCounters& counters)
     : settings_(std::move(settings)),
       store_(store),
       gates_(gates),
       snapshots_(snapshots),
+      counters_(counters),
       socket_(wire::SocketAddress::Parse(settings_.peers)),
       table_server_(wire::SocketAddress::Parse(settings_.peers)),
       record_key_("region/" + settings_.controller.self.region),
@@ -83,25 +86,42 @@
       controller.Tick(usage, http::Now());
       Apply(controller.TakeEffects(http::Now()));
     }
-    counters_.is_coordinator = controller.IsCoordinator(http::Now());
-    counters_.revision = controller.revision();
-    counters_.messages_refused = controller.refused_messages();
+    Report(controller);
+  }
+}
+
+/// Publishes what status pages show, and logs what has changed.
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::Report(const Controller& controller) {
+  const bool is_coordinator = controller.IsCoordinator(http::Now());
+  if (counters_.is_coordinator.exchange(is_coordinator) != is_coordinator) {
+    logging::Log(logging::Level::kInfo, is_coordinator ? "coordinator_begins" : "coordinator_ends",
+                 {{"region", settings_.controller.self.region}, {"epoch", controller.epoch()}});
+  }
+  if (counters_.revision.exchange(controller.revision()) != controller.revision()) {
+    logging::Log(logging::Level::kInfo, "table_in_force", {{"revision", controller.revision()}});
+  }
+  if (is_steering_ != controller.is_steering()) {
+    is_steering_ = controller.is_steering();
+    logging::Log(logging::Level::kInfo, "steering_begins", {{"revision", controller.revision()}});
   }
+  counters_.messages_refused.Add(controller.refused_messages() - refused_messages_);
+  refused_messages_ = controller.refused_messages();
 }
 
 template <store::Store S, GatePort G>
 void ControlThread<S, G>::Receive(Controller& controller, std::span<std::byte> buf,
                                   base::Instant deadline) {
   const wire::Received received = socket_.Receive(buf, deadline);
-  if (received.event == wire::ReceiveEvent::kOversized) ++counters_.messages_malformed;
+  if (received.event == wire::ReceiveEvent::kOversized) counters_.messages_malformed.Add();
   if (received.event != wire::ReceiveEvent::kDatagram) return;
-  ++counters_.messages_in;
-  counters_.bytes_in += received.bytes.size();
+  counters_.messages_in.Add();
+  counters_.bytes_in.Add(received.bytes.size());
   try {
     const wire::Packet packet = wire::Decode(received.bytes);
     controller.OnMessage(packet.message, packet.sequence, http::Now());
   } catch (const wire::DecodeError&) {
-    ++counters_.messages_malformed;
+    counters_.messages_malformed.Add();
   }
 }
 
@@ -118,17 +138,21 @@
 template <store::Store S, GatePort G>
 void ControlThread<S, G>::Apply(Effects effects) {
   if (effects.table) {
+    table_ = effects.table;
     gates_.Configure(*effects.table);
     table_server_.Publish(std::make_shared<const wire::TableText>(
         wire::TableText{effects.table->revision(), effects.table->text()}));
   }
   if (effects.snapshot) snapshots_.Store(effects.snapshot);
-  const SteeringTablePtr table = snapshots_.Load()->table;
-  if (table) {
+  if (table_) {
     for (const LeavingChange& it : effects.leaving) {
-      gates_.SetLeaving(*table, it.target, it.leaving);
+      gates_.SetLeaving(*table_, it.target, it.leaving);
+      const TargetPlace* place = table_->FindTarget(it.target);
+      if (place == nullptr) continue;
+      logging::Log(logging::Level::kInfo, it.leaving ? "target_leaving" : "target_back",
+                   {{"target", place->address}});
     }
-    if (!effects.grants.empty()) gates_.SetGrants(*table, effects.grants);
+    if (!effects.grants.empty()) gates_.SetGrants(*table_, effects.grants);
   }
   for (const Outgoing& it : effects.messages) Send(it);
   if (effects.read_record) ReadRecord();
@@ -141,19 +165,20 @@
   try {
     wire::Encode(message.message, ++sequence_, send_buf_);
     socket_.Send(wire::SocketAddress::Parse(message.to), send_buf_);
-    ++counters_.messages_out;
-    counters_.bytes_out += send_buf_.size();
+    counters_.messages_out.Add();
+    counters_.bytes_out.Add(send_buf_.size());
   } catch (const base::Error&) {
     // A datagram may be lost at any time; the next heartbeat carries the same state.
-    ++counters_.messages_malformed;
+    counters_.messages_malformed.Add();
   }
 }
 
 template <store::Store S, GatePort G>
 void ControlThread<S, G>::ReadRecord() {
   record_worker_.Post([this] {
-    ++counters_.store_reads;
+    counters_.store_reads.Add();
     const store::ReadResult result = store_.Get(record_key_, http::Now() + kStoreTime);
+    NoteStore(result.status != store::ReadStatus::kUnavailable);
     if (result.status == store::ReadStatus::kNotFound) {
       Post([](Controller& it, base::Instant now) { it.OnRecordRead(std::nullopt, 0, now); });
       return;
@@ -174,10 +199,12 @@
 template <store::Store S, GatePort G>
 void ControlThread<S, G>::WriteRecord(const shares::WriteRecord& write) {
   record_worker_.Post([this, write] {
-    ++counters_.store_writes;
+    counters_.store_writes.Add();
     const store::WriteResult result =
         store_.Put(record_key_, write.expected_version, wire::EncodeRecord(write.record),
                    http::Now() + kStoreTime);
+    NoteStore(result.status == store::WriteStatus::kOk ||
+              result.status == store::WriteStatus::kConflict);
     shares::WriteResult outcome = shares::WriteResult::kUnknown;
     if (result.status == store::WriteStatus::kOk) outcome = shares::WriteResult::kAccepted;
     if (result.status == store::WriteStatus::kConflict) outcome = shares::WriteResult::kConflict;
@@ -187,13 +214,23 @@
   });
 }
 
+template <store::Store S, GatePort G>
+void ControlThread<S, G>::NoteStore(bool has_answered) {
+  if (!has_answered) counters_.store_failures.Add();
+  if (has_store_answered_.exchange(has_answered) == has_answered) return;
+  logging::Log(has_answered ? logging::Level::kInfo : logging::Level::kWarning,
+               has_answered ? "store_back" : "store_unreachable");
+}
+
 template <store::Store S, GatePort G>
 void ControlThread<S, G>::Pull(const PullTable& pull) {
   pull_worker_.Post([this, pull] {
     try {
       const wire::TableText table = wire::PullTable(wire::SocketAddress::Parse(pull.peer_address),
                                                     http::Now() + kPullTime);
-      Offer(table.text, table.revision, pull.peer_address);
+      if (table.revision > counters_.revision) {
+        Offer(publication::Source::kPeer, table.text, pull.peer_address);
+      }
     } catch (const base::Error&) {
       // The next message that names the revision leads to another pull.
     }
@@ -201,15 +238,18 @@
 }
 
 template <store::Store S, GatePort G>
-void ControlThread<S, G>::Offer(const std::string& text, base::Revision revision,
-                                const std::string& source) {
-  if (revision != 0 && revision <= counters_.revision) return;
+void ControlThread<S, G>::Offer(publication::Source source, const std::string& text,
+                                const std::string& peer) {
   try {
-    auto table = table::Table::Parse(text, source);
+    auto table = table::Table::Parse(text, peer);
     auto prepared = std::make_shared<const SteeringTable>(std::move(table), text);
-    Post([prepared](Controller& it, base::Instant now) { it.OnTable(prepared, now); });
-  } catch (const base::Error&) {
-    ++counters_.tables_refused;
+    Post([source, prepared](Controller& it, base::Instant now) {
+      it.OnTable(source, prepared, now);
+    });
+  } catch (const base::Error& ex) {
+    counters_.tables_refused.Add();
+    logging::Log(logging::Level::kWarning, "table_refused",
+                 {{"source", peer}, {"cause", ex.what()}});
   }
 }
 
@@ -219,13 +259,16 @@
   // Every host reads the table once when it starts; after that only coordinators watch it.
   const bool is_first = counters_.revision == 0 && table_version_ == 0;
   if (!is_first && !IsCoordinator()) return;
-  ++counters_.store_reads;
+  counters_.store_reads.Add();
   const store::ReadResult result =
       is_first ? store_.Get(kTableKey, http::Now() + kStoreTime)
                : store_.Watch(kTableKey, table_version_, http::Now() + kWatchTime);
+  if (result.status == store::ReadStatus::kNotFound) {
+    Post([](Controller& it, base::Instant) { it.OnEmptyStore(); });
+  }
   if (result.status != store::ReadStatus::kOk) return;
   table_version_ = result.version;
-  Offer(result.value, 0, "store");
+  Offer(publication::Source::kStore, result.value, "store");
 }
 
 template <store::Store S, GatePort G>
--- a/src/control/internal/controller.cc
+++ b/src/control/internal/controller.cc
@@ -28,13 +28,22 @@
   return settings;
 }
 
+std::vector<base::HostId> PeerNames(const ControllerSettings& settings) {
+  std::vector<base::HostId> names;
+  for (const membership::HostInfo& it : settings.seeds) {
+    if (it.ref.host != settings.self.ref.host) names.push_back(it.ref.host);
+  }
+  return names;
+}
+
 }  // namespace
 
 Controller::Controller(const ControllerSettings& settings, base::Instant now)
     : self_(settings.self),
       members_(settings.self, settings.seeds, now),
       lease_(LeaseSettingsOf(settings.self), now),
-      ledger_(settings.self.region) {
+      ledger_(settings.self.region),
+      table_state_(PeerNames(settings)) {
   LinkOf(self_.region);
 }
 
@@ -128,6 +137,7 @@
 
 void Controller::ConsiderRevision(const membership::HostRef& peer, base::Revision newer,
                                   base::Instant now) {
+  table_state_.NotePeerRevision(peer.host, newer);
   if (newer <= revision()) return;
   if (newer <= pull_revision_ && now < next_pull_) return;
   pull_revision_ = newer;
@@ -223,10 +233,15 @@
   if (now >= next_lease_tick_) TickLease(now);
   SendHeartbeats(usage, now);
   if (now >= next_summary_) SendSummaries(now);
+  if (!is_steering_ && table_state_.MaySteer(now)) {
+    is_steering_ = true;
+    is_snapshot_stale_ = true;
+  }
 }
 
 void Controller::TickLease(base::Instant now) {
   next_lease_tick_ = now + kLeaseTick;
+  ForgetDeadPeers(now);
   std::vector<shares::Candidate> candidates;
   for (const auto& info : members_.Candidates(self_.region, now)) {
     candidates.push_back({info.ref, info.zone});
@@ -357,9 +372,19 @@
   }
 }
 
-void Controller::OnTable(SteeringTablePtr table, base::Instant now) {
-  if (table->revision() <= revision()) return;
-  AdoptTable(std::move(table), now);
+void Controller::OnTable(publication::Source source, SteeringTablePtr table, base::Instant now) {
+  const auto result = table_state_.Offer(source, table->shared_table(), now);
+  if (result == publication::OfferResult::kAccepted) AdoptTable(std::move(table), now);
+}
+
+void Controller::ForgetDeadPeers(base::Instant now) {
+  std::vector<base::HostId> live;
+  for (const auto& info : members_.AllLive(now)) live.push_back(info.ref.host);
+  std::sort(live.begin(), live.end());
+  for (const base::HostId& it : known_live_) {
+    if (!std::binary_search(live.begin(), live.end(), it)) table_state_.NotePeerGone(it);
+  }
+  known_live_ = std::move(live);
 }
 
 void Controller::AdoptTable(SteeringTablePtr table, base::Instant now) {
@@ -407,7 +432,7 @@
 
 SnapshotPtr Controller::BuildSnapshot(base::Instant now) const {
   auto snapshot = std::make_shared<Snapshot>();
-  snapshot->table = table_;
+  if (is_steering_) snapshot->table = table_;
   snapshot->leaving = self_.leaving;
   snapshot->leaving_targets = leaving_in_gates_;
   for (const auto& [region, link] : links_) {
--- a/src/control/internal/steering_table.cc
+++ b/src/control/internal/steering_table.cc
@@ -69,8 +69,10 @@
 }  // namespace
 
 SteeringTable::SteeringTable(table::Table table, std::string text)
-    : table_(std::move(table)), text_(std::move(text)), clients_(ClientBlocks(table_)) {
-  for (const table::Service& service : table_.services) {
+    : table_(std::make_shared<const table::Table>(std::move(table))),
+      text_(std::move(text)),
+      clients_(ClientBlocks(*table_)) {
+  for (const table::Service& service : table_->services) {
     PrepareTargets(service);
     PreparePreferences(service);
   }
@@ -79,11 +81,11 @@
 void SteeringTable::PrepareTargets(const table::Service& service) {
   const base::ServiceIndex index{static_cast<std::uint32_t>(targets_.size())};
   std::vector<admission::Target> usable;
-  for (std::uint32_t r = 0; r < table_.regions.size(); ++r) {
+  for (std::uint32_t r = 0; r < table_->regions.size(); ++r) {
     const base::RegionIndex region{r};
     std::vector<const table::Target*> targets;
     for (const table::Target& it : service.targets) {
-      if (table_.RegionOf(it.zone) == region) targets.push_back(&it);
+      if (table_->RegionOf(it.zone) == region) targets.push_back(&it);
     }
     const auto long_slots = LongSlots(targets, service.long_slot_percent);
     for (std::size_t i = 0; i < targets.size(); ++i) {
@@ -109,7 +111,7 @@
   std::uint32_t highest = 0;
   for (const auto& it : service.regions) highest = std::max(highest, it.weight);
   std::vector<std::vector<admission::RegionPreference>> by_home;
-  for (std::uint32_t h = 0; h < table_.regions.size(); ++h) {
+  for (std::uint32_t h = 0; h < table_->regions.size(); ++h) {
     const base::RegionIndex home{h};
     const std::uint32_t home_weight = RegionWeight(service, home);
     const std::uint32_t kept = highest == 0 ? 0 : kFullWeight * home_weight / highest;
@@ -122,7 +124,7 @@
           others == 0 ? 0 : static_cast<std::uint32_t>((kFullWeight - kept) * it.weight / others);
       list.push_back({it.region, it.region == home ? kept : moved});
     }
-    const auto& distance = table_.regions[h].distance_ms;
+    const auto& distance = table_->regions[h].distance_ms;
     std::stable_sort(list.begin(), list.end(), [&](const auto& a, const auto& b) {
       const auto rank = [&](const auto& x) {
         return std::tuple(x.region != home, distance[x.region.value]);
@@ -135,17 +137,17 @@
 }
 
 std::optional<base::ServiceIndex> SteeringTable::FindService(std::string_view name) const {
-  const auto n = FindByName(table_.services, name);
+  const auto n = FindByName(table_->services, name);
   return n ? std::optional(base::ServiceIndex{*n}) : std::nullopt;
 }
 
 std::optional<base::RegionIndex> SteeringTable::FindRegion(std::string_view name) const {
-  const auto n = FindByName(table_.regions, name);
+  const auto n = FindByName(table_->regions, name);
   return n ? std::optional(base::RegionIndex{*n}) : std::nullopt;
 }
 
 std::optional<base::ZoneIndex> SteeringTable::FindZone(std::string_view name) const {
-  const auto n = FindByName(table_.zones, name);
+  const auto n = FindByName(table_->zones, name);
   return n ? std::optional(base::ZoneIndex{*n}) : std::nullopt;
 }
 
--- a/src/control/steering_table.h
+++ b/src/control/steering_table.h
@@ -34,16 +34,17 @@
   /// Takes a table that has passed its checks; `text` is what peers pull.
   SteeringTable(table::Table table, std::string text);
 
-  const table::Table& table() const { return table_; }
+  const table::Table& table() const { return *table_; }
+  const std::shared_ptr<const table::Table>& shared_table() const { return table_; }
   const std::string& text() const { return text_; }
-  base::Revision revision() const { return table_.revision; }
+  base::Revision revision() const { return table_->revision; }
 
   std::optional<base::ServiceIndex> FindService(std::string_view name) const;
   std::optional<base::RegionIndex> FindRegion(std::string_view name) const;
   std::optional<base::ZoneIndex> FindZone(std::string_view name) const;
   const TargetPlace* FindTarget(base::TargetKey key) const;
   const table::Service& ServiceAt(base::ServiceIndex service) const {
-    return table_.services[service.value];
+    return table_->services[service.value];
   }
   /// Targets of a service with a weight above 0 in zones and regions with a weight above 0.
   std::span<const admission::Target> TargetsOf(base::ServiceIndex service) const {
@@ -57,7 +58,7 @@
     return preferences_[service.value][home.value];
   }
   std::span<const std::uint32_t> DistancesFrom(base::RegionIndex region) const {
-    return table_.regions[region.value].distance_ms;
+    return table_->regions[region.value].distance_ms;
   }
   const topology::ClientMap& clients() const { return clients_; }
   std::span<const base::TargetKey> target_keys() const { return target_keys_; }
@@ -66,7 +67,7 @@
   void PrepareTargets(const table::Service& service);
   void PreparePreferences(const table::Service& service);
 
-  table::Table table_;
+  std::shared_ptr<const table::Table> table_;  // Never null.
   std::string text_;
   topology::ClientMap clients_;
   std::vector<std::vector<admission::Target>> targets_;
--- a/src/traffic/internal/admin_api.cc
+++ b/src/traffic/internal/admin_api.cc
@@ -55,11 +55,15 @@
   return Value(std::move(out));
 }
 
+/// Metrics count in doubles, which hold every integer up to 2^53.
+std::uint64_t Count(double value) { return static_cast<std::uint64_t>(value); }
+
 Value RefusalsOf(const Counters& counters) {
   Value::Object out;
   for (std::size_t i = 0; i < kRefusalReasons; ++i) {
     const auto reason = static_cast<RefusalReason>(i);
-    if (const auto n = counters.refused(reason)) out.push_back(Field(Name(reason), Number(n)));
+    if (const auto n = Count(counters.refusals.Value(reason)))
+      out.push_back(Field(Name(reason), Number(n)));
   }
   return Value(std::move(out));
 }
@@ -68,7 +72,8 @@
   Value::Object out;
   for (std::size_t i = 0; i < kRetryReasons; ++i) {
     const auto reason = static_cast<RetryReason>(i);
-    if (const auto n = counters.retried(reason)) out.push_back(Field(Name(reason), Number(n)));
+    if (const auto n = Count(counters.retries.Value(reason)))
+      out.push_back(Field(Name(reason), Number(n)));
   }
   return Value(std::move(out));
 }
@@ -103,7 +108,7 @@
 
 http::Response AdminApi::Status() const {
   const control::SnapshotPtr snapshot = snapshots_.Load();
-  const auto read = [](const auto& count) { return Number(count.load()); };
+  const auto read = [](const auto& count) { return Number(Count(count.Value())); };
   return Json(
       200,
       {Field("host", Text(settings_.self.host)), Field("region", Text(settings_.region)),
--- a/src/traffic/internal/caller_api.cc
+++ b/src/traffic/internal/caller_api.cc
@@ -89,7 +89,7 @@
 }
 
 http::Response CallerApi::Lookup(const control::Snapshot& snapshot, const http::Request& request) {
-  Counters::Add(counters_.lookups);
+  counters_.lookups.Add();
   const control::SteeringTable& table = *snapshot.table;
   const auto service = request.Parameter("service");
   if (!service || !table.FindService(*service)) {
@@ -157,7 +157,7 @@
 
 http::Response CallerApi::Serve(const control::Snapshot& snapshot, const http::Request& request,
                                 bool is_forwarded) {
-  Counters::Add(counters_.requests);
+  counters_.requests.Add();
   const control::SteeringTable& table = *snapshot.table;
   auto planned = PlanRequest(table, request, FallbackOf(table), http::Now());
   if (auto* refusal = std::get_if<Served>(&planned)) return ToResponse(std::move(*refusal));
@@ -218,7 +218,7 @@
                                   const base::HostId& issuer, base::Instant deadline) {
   const membership::HostInfo* host = FindHost(snapshot, issuer);
   if (host == nullptr) return Refuse(Outcome::kUnknown, RefusalReason::kTicketIssuerGone, 504);
-  Counters::Add(counters_.forwarded);
+  counters_.forwarded.Add();
   std::vector<http::HeaderView> headers;
   for (const http::HeaderView& it : request.headers) {
     const bool is_framing = http::EqualsIgnoreCase(it.name, "Host") ||
@@ -244,10 +244,10 @@
   http::Response response = std::move(served.response);
   response.headers.Set(kOutcomeHeader, Name(served.outcome));
   if (served.outcome == Outcome::kAnswered) {
-    Counters::Add(counters_.answered);
+    counters_.answered.Add();
     return response;
   }
-  counters_.Refused(served.reason);
+  counters_.refusals.Add(served.reason);
   response.headers.Set(kReasonHeader, Name(served.reason));
   if (served.outcome == Outcome::kNotRun && response.status == 503) {
     const auto seconds = std::max<std::uint64_t>(1, RetryAfterSeconds(served.retry_after));
--- a/src/traffic/internal/dispatcher.cc
+++ b/src/traffic/internal/dispatcher.cc
@@ -132,7 +132,7 @@
     if (!MayRetry(plan.service, http::Now())) {
       return Served::Refused(worst, RefusalReason::kRetryBudget, 503, base::Duration::Seconds(1));
     }
-    counters_.Retried(attempt.retry_reason);
+    counters_.retries.Add(attempt.retry_reason);
   }
 }
 
@@ -161,7 +161,7 @@
 
   Attempt attempt;
   attempt.target = admitted.target;
-  Counters::Add(counters_.attempts);
+  counters_.attempts.Add();
   try {
     if (place == nullptr) throw http::ClientError(http::Failure::kVetoed, false, "", "target gone");
     attempt.response = client_.Execute(http::Endpoint::Parse(place->address),
