--- /dev/null
+++ b/src/app/internal/command.h
@@ -0,0 +1,34 @@
+// What the subcommands share.
+#pragma once
+
+#include <tclap/CmdLine.h>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "base/duration.h"
+
+namespace mangonotch::app {
+
+inline constexpr const char* kVersion = "0.1.0";
+/// Longest time an operator's command waits for one answer of a host or the store.
+inline constexpr base::Duration kCallTime = base::Duration::Seconds(5);
+
+/// The first argument is the program and subcommand.
+using Arguments = std::vector<std::string>;
+
+/// Parses and lets TCLAP's exceptions through; RunCommand turns them into messages and exit codes.
+void ParseArguments(TCLAP::CmdLine& cmd, Arguments& args);
+/// Throws base::Error when the file cannot be read.
+std::string ReadFile(const std::string& path);
+
+int Serve(Arguments args, std::ostream& out);
+int Check(Arguments args, std::ostream& out);
+int Table(Arguments args, std::ostream& out);
+int Status(Arguments args, std::ostream& out);
+int Explain(Arguments args, std::ostream& out);
+int Lookup(Arguments args, std::ostream& out);
+int Drain(Arguments args, std::ostream& out);
+
+}  // namespace mangonotch::app
--- a/src/app/internal/entry_host.cc
+++ b/src/app/internal/entry_host.cc
@@ -1,6 +1,9 @@
 // Implementation of app::EntryHost.
 #include "app/entry_host.h"
 
+#include <signal.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <random>
 #include <thread>
@@ -84,7 +87,7 @@
         callers_api_({self_.ref, self_.region, self_.zone}, snapshots_, dispatcher_, tickets_,
                      counters_),
         admin_api_({self_.ref, self_.region, self_.zone}, snapshots_, gates_, tickets_, counters_,
-                   control_counters_),
+                   control_counters_, [] { kill(getpid(), SIGTERM); }),
         expire_(kExpirePause, [this] { tickets_.Expire(); }),
         callers_(Listen(settings.listen.callers, LimitsOf(settings),
                         [this](const auto& it) { return callers_api_.Handle(it, false); })),
--- /dev/null
+++ b/src/app/internal/serve_command.cc
@@ -0,0 +1,48 @@
+// `mangonotch serve` and `mangonotch check`.
+#include <signal.h>
+
+#include "app/entry_host.h"
+#include "app/exit_code.h"
+#include "app/internal/command.h"
+#include "logging/log.h"
+#include "settings/host_settings.h"
+
+namespace mangonotch::app {
+
+int Serve(Arguments args, std::ostream& out) {
+  TCLAP::CmdLine cmd("Runs an entry host until SIGTERM or SIGINT, then drains it", ' ', kVersion);
+  TCLAP::UnlabeledValueArg<std::string> file("settings", "settings file of this host", true, "",
+                                             "file", cmd);
+  ParseArguments(cmd, args);
+  const auto settings = settings::HostSettings::ReadFile(file.getValue());
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  // Blocked before any thread starts, so that only sigwait below takes them.
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  logging::SetUp(static_cast<logging::Level>(settings.log_level));
+  EntryHost host(settings);
+  logging::Log(logging::Level::kInfo, "serving", {{"host", settings.host}});
+  out << "serving " << settings.listen.callers << std::endl;
+  int signal_number = 0;
+  sigwait(&signals, &signal_number);
+  logging::Log(logging::Level::kInfo, "draining", {{"host", settings.host}});
+  host.Drain();
+  logging::Log(logging::Level::kInfo, "stopped", {{"host", settings.host}});
+  return kSuccess;
+}
+
+int Check(Arguments args, std::ostream& out) {
+  TCLAP::CmdLine cmd("Checks settings files and lists every fault", ' ', kVersion);
+  TCLAP::UnlabeledMultiArg<std::string> files("settings", "settings files", true, "file", cmd);
+  ParseArguments(cmd, args);
+  for (const std::string& it : files) {
+    settings::HostSettings::ReadFile(it);
+    out << it << ": ok\n";
+  }
+  return kSuccess;
+}
+
+}  // namespace mangonotch::app
--- a/src/traffic/admin_api.h
+++ b/src/traffic/admin_api.h
@@ -1,6 +1,7 @@
 // What operators reach over HTTP on the admin port: status and the explanation of decisions.
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "control/control_counters.h"
@@ -17,7 +18,7 @@
  public:
   AdminApi(CallerApiSettings settings, const control::SnapshotCell& snapshots, GateSet& gates,
            const TicketDesk& tickets, const Counters& counters,
-           const control::ControlCounters& control);
+           const control::ControlCounters& control, std::function<void()> on_drain);
 
   http::Response Handle(const http::Request& request);
 
@@ -32,6 +33,7 @@
   const TicketDesk& tickets_;
   const Counters& counters_;
   const control::ControlCounters& control_;
+  std::function<void()> on_drain_;
 };
 
 }  // namespace mangonotch::traffic
--- a/src/traffic/internal/admin_api.cc
+++ b/src/traffic/internal/admin_api.cc
@@ -78,23 +78,43 @@
   return Value(std::move(out));
 }
 
+Value ExplainRegion(const control::SteeringTable& table, base::ServiceIndex service,
+                    const admission::RegionPreference& preference) {
+  Value::Object out = {Field("region", Text(table.table().RegionName(preference.region))),
+                       Field("share_per_mille", Number(preference.weight))};
+  for (const table::ServiceRegion& it : table.ServiceAt(service).regions) {
+    if (it.region != preference.region) continue;
+    out.push_back(Field("weight", Number(it.weight)));
+    out.push_back(Field("limit", Number(it.limit)));
+    out.push_back(Field("moved_in_cap_percent", Number(it.moved_in_cap_percent)));
+    out.push_back(
+        Field("moved_in_ramp_percent_per_minute", Number(it.moved_in_ramp_percent_per_minute)));
+  }
+  return Value(std::move(out));
+}
+
 }  // namespace
 
 AdminApi::AdminApi(CallerApiSettings settings, const control::SnapshotCell& snapshots,
                    GateSet& gates, const TicketDesk& tickets, const Counters& counters,
-                   const control::ControlCounters& control)
+                   const control::ControlCounters& control, std::function<void()> on_drain)
     : settings_(std::move(settings)),
       snapshots_(snapshots),
       gates_(gates),
       tickets_(tickets),
       counters_(counters),
-      control_(control) {}
+      control_(control),
+      on_drain_(std::move(on_drain)) {}
 
 http::Response AdminApi::Handle(const http::Request& request) {
   if (request.path == "/status") return Status();
   if (request.path == "/explain") return Explain(request);
   if (request.path == "/table") return TableText();
-  return Fault(404, "paths are /status, /explain and /table");
+  if (request.path == "/drain" && request.method == "POST") {
+    on_drain_();
+    return Json(200, {Field("host", Text(settings_.self.host)), Field("state", Text("draining"))});
+  }
+  return Fault(404, "paths are /status, /explain, /table and POST /drain");
 }
 
 http::Response AdminApi::TableText() const {
@@ -150,8 +170,7 @@
   Value::Array regions;
   const auto preferences = table.PreferencesOf(*service, *region);
   for (const admission::RegionPreference& it : preferences) {
-    regions.emplace_back(Value::Object{Field("region", Text(table.table().RegionName(it.region))),
-                                       Field("share_per_mille", Number(it.weight))});
+    regions.push_back(ExplainRegion(table, *service, it));
   }
   Value::Array targets;
   const auto gate = gates_.Find(table.ServiceAt(*service).key);
@@ -171,6 +190,7 @@
         targets.emplace_back(
             Value::Object{Field("target", Text(place.address)),
                           Field("zone", Text(table.table().ZoneName(place.zone))),
+                          Field("slots", Number(is_long ? place.long_slots : place.short_slots)),
                           Field("held", Number(held == usage.end() ? 0 : held->second.held)),
                           Field("in_use", Number(held == usage.end() ? 0 : held->second.in_use)),
                           Field("reason", Text(admission::Name(e.reason)))});
