--- a/src/store/http_store.h
+++ b/src/store/http_store.h
@@ -6,7 +6,8 @@
 // (deleted), 304 POST /v1/leases?ttl_ms=                       200 with the identifier POST
 // /v1/leases/<id>/renew                    200, 404
 //
-// The service answers 400, 413, 429 and 503 only before a write takes effect.
+// The service answers other 4xx (such as 413 for a large value and 429 over a rate) and 503 only
+// before a write takes effect.
 #pragma once
 
 #include <atomic>
--- a/src/store/internal/http_store.cc
+++ b/src/store/internal/http_store.cc
@@ -48,9 +48,7 @@
 }
 
 /// Statuses that the service gives only before a write takes effect.
-bool IsCertainRefusal(unsigned status) {
-  return status == 400 || status == 413 || status == 429 || status == 503;
-}
+bool IsCertainRefusal(unsigned status) { return status / 100 == 4 || status == 503; }
 
 WriteResult ToWrite(const http::Response& response) {
   const Version version = VersionOf(response).value_or(kAbsent);
@@ -60,14 +58,19 @@
   if (response.status == 409) {
     return {WriteStatus::kConflict, version, ""};
   }
-  if (response.status == 404) {
-    return {WriteStatus::kLeaseLapsed, kAbsent, ""};
-  }
   const WriteStatus status =
       IsCertainRefusal(response.status) ? WriteStatus::kUnavailable : WriteStatus::kUnknown;
   return {status, kAbsent, StatusText(response)};
 }
 
+/// A write that names a lease is refused by 404 when the lease has lapsed.
+WriteResult WithLease(WriteResult result, LeaseId lease, const http::Response& answer) {
+  if (lease.value != 0 && answer.status == 404) {
+    result.status = WriteStatus::kLeaseLapsed;
+  }
+  return result;
+}
+
 }  // namespace
 
 ReadResult HttpStore::Get(std::string_view key, base::Instant deadline) {
@@ -102,7 +105,7 @@
   if (versioned && !VersionOf(answer)) {
     return {WriteStatus::kUnknown, kAbsent, "answer without X-Version"};
   }
-  return result;
+  return WithLease(std::move(result), lease, answer);
 }
 
 LeaseResult HttpStore::Grant(base::Duration ttl, base::Instant deadline) {
@@ -119,8 +122,9 @@
 
 WriteResult HttpStore::Renew(LeaseId lease, base::Instant deadline) {
   http::Response answer;
-  return Write("POST", "/v1/leases/" + std::to_string(lease.value) + "/renew", "", deadline,
-               answer);
+  WriteResult result =
+      Write("POST", "/v1/leases/" + std::to_string(lease.value) + "/renew", "", deadline, answer);
+  return WithLease(std::move(result), lease, answer);
 }
 
 ReadResult HttpStore::Read(const std::string& target, base::Instant deadline) {
