--- a/src/wire/internal/table_frame.cc
+++ b/src/wire/internal/table_frame.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <istream>
 #include <ostream>
-#include <string>
 #include <vector>
 
 #include "wire/internal/archive.h"
@@ -40,7 +39,7 @@
   return std::equal(bytes.begin(), bytes.end(), expected.begin());
 }
 
-PullHead DecodePullHead(std::span<const std::byte, kPullHeadBytes> bytes) {
+PullHead DecodePullHead(std::span<const std::byte, kPullHeadBytes> bytes, const std::string& peer) {
   SpanBuffer buf(bytes);
   std::istream stream(&buf);
   InputArchive ar(stream);
@@ -49,13 +48,13 @@
   PullHead head;
   ar(magic, version, head.revision, head.length);
   if (magic != kPullMagic || bytes.front() != std::byte{1}) {
-    throw DecodeError(DecodeReason::kWrongMagic, "", "pull table");
+    throw DecodeError(DecodeReason::kWrongMagic, "", "pull table", peer);
   }
   if (version != kVersion) {
-    throw DecodeError(DecodeReason::kWrongVersion, std::to_string(version), "pull table");
+    throw DecodeError(DecodeReason::kWrongVersion, std::to_string(version), "pull table", peer);
   }
   if (head.length > kMaxTableBytes) {
-    throw DecodeError(DecodeReason::kTooLong, std::to_string(head.length), "pull table");
+    throw DecodeError(DecodeReason::kTooLong, std::to_string(head.length), "pull table", peer);
   }
   return head;
 }
--- a/src/wire/internal/table_frame.h
+++ b/src/wire/internal/table_frame.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string>
 
 #include "base/ids.h"
 
@@ -29,7 +30,7 @@
 /// True for exactly the bytes of EncodePullRequest.
 bool IsPullRequest(std::span<const std::byte, kPullRequestBytes> bytes);
 
-/// Throws DecodeError, also for a length over kMaxTableBytes.
-PullHead DecodePullHead(std::span<const std::byte, kPullHeadBytes> bytes);
+/// Throws DecodeError, also for a length over kMaxTableBytes. `peer` sent the bytes.
+PullHead DecodePullHead(std::span<const std::byte, kPullHeadBytes> bytes, const std::string& peer);
 
 }  // namespace mangonotch::wire::internal
--- a/src/wire/internal/table_pull.cc
+++ b/src/wire/internal/table_pull.cc
@@ -94,7 +94,7 @@
   connection.Write(internal::EncodePullRequest());
   internal::PullHeadFrame frame{};
   connection.Read(frame);
-  const auto head = internal::DecodePullHead(frame);
+  const auto head = internal::DecodePullHead(frame, peer.ToString());
   TableText table;
   table.revision = head.revision;
   while (table.text.size() < head.length) {
--- a/src/wire/tests/codec_test.cc
+++ b/src/wire/tests/codec_test.cc
@@ -6,9 +6,11 @@
 
 #include <catch2/catch.hpp>
 #include <span>
+#include <sstream>
 #include <string>
 
 #include "wire/decode_error.h"
+#include "wire/internal/layout.h"
 #include "wire/limits.h"
 #include "wire/split.h"
 
@@ -110,6 +112,15 @@
   REQUIRE(ReasonOf(Bytes(kMaxDatagramBytes + 1)) == DecodeReason::kTooLong);
 }
 
+TEST_CASE("A message in the other byte order is refused, so that each has one encoding") {
+  std::ostringstream stream;
+  internal::OutputArchive ar(stream, internal::OutputArchive::Options::BigEndian());
+  shares::PromiseRequest message{Ref(), "r", 1, 2};
+  ar(kMagic, kVersion, std::uint8_t{2}, Ref().incarnation, std::uint64_t{1}, message);
+  const std::string text = stream.str();
+  REQUIRE(ReasonOf(std::as_bytes(std::span(text))) == DecodeReason::kWrongMagic);
+}
+
 TEST_CASE("A count over the bound is refused before its lines are read") {
   Bytes bytes = Encoded(membership::Announcement{Ref(), 3, {}});
   bytes[bytes.size() - 2] = std::byte{kMaxLines + 1};
--- a/src/wire/tests/socket_test.cc
+++ b/src/wire/tests/socket_test.cc
@@ -9,7 +9,6 @@
 #include <thread>
 
 #include "base/error.h"
-#include "wire/decode_error.h"
 #include "wire/internal/system.h"
 #include "wire/internal/table_frame.h"
 #include "wire/limits.h"
@@ -143,8 +142,15 @@
 
 TEST_CASE("A pull from a false, early ending, silent or absent peer fails with its address") {
   const auto pull = [](const SocketAddress& peer) { PullTable(peer, In(10)); };
-  REQUIRE_THROWS_AS(pull(FalsePeer(std::vector<std::byte>(19)).local()), DecodeError);
-  REQUIRE_THROWS_AS(pull(FalsePeer(Head(kMaxTableBytes + 1)).local()), DecodeError);
+  auto stranger = Head(0);
+  stranger[1] = std::byte{0};
+  REQUIRE_THROWS_WITH(pull(FalsePeer(stranger).local()), Catch::Contains("wrong-magic"));
+  auto newer = Head(0);
+  newer[5] = std::byte{9};
+  REQUIRE_THROWS_WITH(pull(FalsePeer(newer).local()), Catch::Contains("wrong-version"));
+  const auto too_long = Head(kMaxTableBytes + 1);
+  REQUIRE_THROWS_WITH(pull(FalsePeer(too_long).local()),
+                      Catch::Contains("too-long") && Catch::Contains("[127.0.0.1:"));
   REQUIRE_THROWS_WITH(pull(FalsePeer(Head(5)).local()), Catch::Contains("closed the connection"));
   const auto closed = [] { return UdpSocket(AnyPort()).local(); }();
   REQUIRE_THROWS_WITH(pull(closed), Catch::Contains(closed.ToString()));
