--- a/src/admission/class_load.h
+++ b/src/admission/class_load.h
@@ -22,17 +22,15 @@
  public:
   explicit ClassLoad(const ClassLoadSettings& settings);
 
-  /// Slots in force on targets that are not in reserve.
-  void SetUsableSlots(std::uint32_t slots) { usable_slots_ = slots; }
   void OnTaken(base::RegionIndex region, base::Instant now);
   void OnReleased(base::RegionIndex region, base::Duration held);
 
   /// Average time for which a request holds a slot.
   base::Duration ServiceTime() const { return service_time_; }
-  /// Time until the waiter at a position (1 = next) can expect a slot.
-  base::Duration ExpectedWait(std::size_t position) const;
+  /// Time until the waiter at a position (1 = next) can expect one of the usable slots.
+  base::Duration ExpectedWait(std::size_t position, std::uint32_t usable_slots) const;
   /// Time after which a caller that was refused behind `waiting` others may come back.
-  base::Duration RetryAfter(std::size_t waiting) const;
+  base::Duration RetryAfter(std::size_t waiting, std::uint32_t usable_slots) const;
   /// In use and headroom; the waiters are counted by the gate.
   Demand DemandFor(base::RegionIndex region, base::Instant now) const;
 
@@ -47,7 +45,6 @@
 
   ClassLoadSettings settings_;
   base::Duration service_time_;
-  std::uint32_t usable_slots_ = 0;
   std::vector<RegionUse> regions_;
 };
 
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -71,7 +71,7 @@
   /// about ten times a second.
   void Tick(base::Instant now) {
     health_.Evaluate(slots_, {lanes_[0].queue.size(), lanes_[1].queue.size()}, now);
-    UpdateUsable(now);
+    slots_.UpdateUsable(now);
   }
 
   // Traffic operations.
@@ -81,13 +81,12 @@
     if (now >= request.deadline) return Refused{RefusalReason::kDeadlinePassed, {}};
     const std::size_t n = lane.queue.size();
     if (const auto admitted = TryTake(request, n + 1, now)) return *admitted;
-    if (!HasOpenTarget(request)) return Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)};
-    const base::Instant expected_end =
-        now + lane.load.ExpectedWait(n + 1) + lane.load.ServiceTime();
-    if (expected_end > request.deadline) {
-      return Refused{RefusalReason::kExpectedWaitTooLong, lane.load.RetryAfter(n)};
+    if (!HasOpenTarget(request)) return Refuse(RefusalReason::kNoTarget, request);
+    const base::Duration wait = lane.load.ExpectedWait(n + 1, UsableSlots(request));
+    if (now + wait + lane.load.ServiceTime() > request.deadline) {
+      return Refuse(RefusalReason::kExpectedWaitTooLong, request);
     }
-    if (lane.queue.IsFull()) return Refused{RefusalReason::kQueueFull, lane.load.RetryAfter(n)};
+    if (lane.queue.IsFull()) return Refuse(RefusalReason::kQueueFull, request);
     lane.queue.Push(++last_waiter_, request);
     return Waiting{last_waiter_};
   }
@@ -209,15 +208,8 @@
 
   bool SetLeaving(base::TargetKey target, bool is_leaving, base::Instant now) {
     const bool is_known = slots_.SetLeaving(target, is_leaving, now);
-    UpdateUsable(now);
-    return is_known;
-  }
-
-  void UpdateUsable(base::Instant now) {
     slots_.UpdateUsable(now);
-    for (const auto work_class : {base::WorkClass::kShort, base::WorkClass::kLong}) {
-      LaneOf(work_class).load.SetUsableSlots(slots_.usable_slots(work_class));
-    }
+    return is_known;
   }
 
   static std::span<const RegionPreference> RegionsOf(const Request& request) {
@@ -228,6 +220,20 @@
     return request.excluded.first(std::min(request.excluded.size(), kMaxExcludedTargets));
   }
 
+  /// Slots that a request could wait for.
+  std::uint32_t UsableSlots(const Request& request) const {
+    std::uint32_t n = 0;
+    for (const RegionPreference& r : RegionsOf(request)) {
+      n += slots_.UsableSlotsOf(request.work_class, r.region);
+    }
+    return n;
+  }
+
+  Refused Refuse(RefusalReason reason, const Request& request) const {
+    const Lane& lane = lanes_[static_cast<std::size_t>(request.work_class)];
+    return {reason, lane.load.RetryAfter(lane.queue.size(), UsableSlots(request))};
+  }
+
   bool HasOpenTarget(const Request& request) const {
     const auto regions = RegionsOf(request);
     return std::any_of(regions.begin(), regions.end(), [&](const RegionPreference& r) {
@@ -277,7 +283,8 @@
         });
     const float slowness = slots_.targets()[chosen].verdict.slowness;
     const double cost = (slowness - 1) * lane.load.ServiceTime().seconds();
-    return !has_other || lane.load.ExpectedWait(position).seconds() > cost;
+    const base::Duration wait = lane.load.ExpectedWait(position, UsableSlots(request));
+    return !has_other || wait.seconds() > cost;
   }
 
   /// Draws a region with candidates in proportion to the weights, else the first in order.
@@ -303,10 +310,9 @@
       const Request request = waiter.MakeRequest(work_class);
       const WaiterId id = waiter.id;
       if (now + lane.load.ServiceTime() > request.deadline) {
-        ready_.push_back(
-            {id, Refused{RefusalReason::kDeadlinePassed, lane.load.RetryAfter(lane.queue.size())}});
+        ready_.push_back({id, Refuse(RefusalReason::kDeadlinePassed, request)});
       } else if (!HasOpenTarget(request)) {
-        ready_.push_back({id, Refused{RefusalReason::kNoTarget, lane.load.RetryAfter(0)}});
+        ready_.push_back({id, Refuse(RefusalReason::kNoTarget, request)});
       } else if (const auto admitted = TryTake(request, i + 1, now)) {
         ready_.push_back({id, *admitted});
       } else {
--- a/src/admission/internal/class_load.cc
+++ b/src/admission/internal/class_load.cc
@@ -31,13 +31,13 @@
   service_time_ = service_time_ + (held - service_time_) / kAverageShare;
 }
 
-base::Duration ClassLoad::ExpectedWait(std::size_t position) const {
-  if (usable_slots_ == 0) return settings_.grant_delay;
-  return service_time_ * static_cast<std::int64_t>(position) / usable_slots_;
+base::Duration ClassLoad::ExpectedWait(std::size_t position, std::uint32_t usable_slots) const {
+  if (usable_slots == 0) return settings_.grant_delay;
+  return service_time_ * static_cast<std::int64_t>(position) / usable_slots;
 }
 
-base::Duration ClassLoad::RetryAfter(std::size_t waiting) const {
-  return std::max(ExpectedWait(waiting + 1), kMinRetryAfter);
+base::Duration ClassLoad::RetryAfter(std::size_t waiting, std::uint32_t usable_slots) const {
+  return std::max(ExpectedWait(waiting + 1, usable_slots), kMinRetryAfter);
 }
 
 float ClassLoad::PeakAt(const RegionUse& use, base::Instant now) const {
--- a/src/admission/internal/slot_table.cc
+++ b/src/admission/internal/slot_table.cc
@@ -309,18 +309,24 @@
 
 void SlotTable::UpdateUsable(base::Instant now) {
   for (const auto work_class : kClasses) {
-    std::uint32_t slots = 0;
-    auto& counts = usable_targets_[ClassIndex(work_class)];
-    counts.assign(regions(), 0);
+    auto& targets = usable_targets_[ClassIndex(work_class)];
+    auto& slots = usable_slots_[ClassIndex(work_class)];
+    targets.assign(regions(), 0);
+    slots.assign(regions(), 0);
     for (const TargetState& state : targets_) {
       const std::uint16_t usable = UsableSlots(state, work_class, now);
-      slots += usable;
-      if (usable > 0) ++counts[state.target.region.value];
+      if (usable == 0) continue;
+      ++targets[state.target.region.value];
+      slots[state.target.region.value] += usable;
     }
-    usable_slots_[ClassIndex(work_class)] = slots;
   }
 }
 
+std::uint32_t SlotTable::UsableSlotsOf(base::WorkClass work_class, base::RegionIndex region) const {
+  const auto& slots = usable_slots_[ClassIndex(work_class)];
+  return region.value < slots.size() ? slots[region.value] : 0;
+}
+
 /// Counts the different excluded targets of a region that fulfil the condition.
 template <typename Condition>
 std::uint32_t SlotTable::CountExcluded(base::RegionIndex region,
--- a/src/admission/slot_table.h
+++ b/src/admission/slot_table.h
@@ -112,9 +112,7 @@
   /// Renews the counts of usable targets and slots: with a grant in force, not leaving, neither
   /// ejected nor in reserve. Other operations leave them as they are.
   void UpdateUsable(base::Instant now);
-  std::uint32_t usable_slots(base::WorkClass work_class) const {
-    return usable_slots_[static_cast<std::size_t>(work_class)];
-  }
+  std::uint32_t UsableSlotsOf(base::WorkClass work_class, base::RegionIndex region) const;
   /// True when a usable target of the region is not excluded, whether it has a free slot or not.
   bool HasUsableTarget(base::WorkClass work_class, base::RegionIndex region,
                        std::span<const base::TargetKey> excluded, base::Instant now) const;
@@ -161,9 +159,9 @@
   std::array<std::array<std::uint32_t, kTiers>, base::kWorkClasses> available_count_{};
   /// Listed targets that are not leaving, by region.
   std::vector<std::uint32_t> open_targets_;
-  std::array<std::uint32_t, base::kWorkClasses> usable_slots_{};
-  /// Usable targets by class and region.
+  /// Usable targets and their slots by class and region.
   std::array<std::vector<std::uint32_t>, base::kWorkClasses> usable_targets_;
+  std::array<std::vector<std::uint32_t>, base::kWorkClasses> usable_slots_;
   std::vector<SlotRecord> slots_;
   std::vector<std::uint32_t> free_slots_;
 };
--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -43,9 +43,9 @@
   base::WorkClass work_class = base::WorkClass::kShort;
   base::Instant deadline;
   /// At most kMaxPreferredRegions count. Work goes to no other region; empty allows none.
-  std::span<const RegionPreference> regions;
+  std::span<const RegionPreference> regions = {};
   /// Targets that earlier attempts used; at most kMaxExcludedTargets count.
-  std::span<const base::TargetKey> excluded;
+  std::span<const base::TargetKey> excluded = {};
 };
 
 /// Handle of a slot in use. The generation shows a handle that was completed before.
