--- a/src/shares/tests/coordinator_lease_test.cc
+++ b/src/shares/tests/coordinator_lease_test.cc
@@ -44,6 +44,20 @@
 
 base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
 
+/// Host "b" after its takeover, sent at 5,000 ms, with "c" as its standby.
+CoordinatorLease Holder() {
+  CoordinatorLease lease = Standby();
+  lease.Tick(At(5'000));
+  lease.OnWriteDone(WriteResult::kAccepted, 18, At(5'010));
+  return lease;
+}
+
+/// A promise of `host` that answers the last round of requests.
+Promise Answer(const std::string& host, const LeaseDecisions& decisions) {
+  const auto& request = std::get<SendPromiseRequest>(decisions.at(0)).request;
+  return {Ref(host), "north", 5, request.sequence, false};
+}
+
 PromiseRequest Request() { return {Ref("a"), "north", 4, 3}; }
 
 const WriteRecord* WriteIn(const LeaseDecisions& decisions) {
@@ -184,10 +198,58 @@
   }
 }
 
+TEST_CASE("A holder counts a promise from its request, and none once its time has run out") {
+  CoordinatorLease lease = Holder();
+  lease.Tick(At(6'500));
+  const Promise first = Answer("c", lease.Tick(At(7'000)));
+  lease.OnPromise(first, At(8'500));
+  REQUIRE(lease.IsHolder(At(10'999)));
+  REQUIRE_FALSE(lease.IsHolder(At(11'000)));
+  const Promise second = Answer("c", lease.Tick(At(10'900)));
+  lease.OnPromise(second, At(11'100));
+  REQUIRE_FALSE(lease.IsHolder(At(11'100)));
+}
+
+TEST_CASE(
+    "While a renewal that changes the standbys is unanswered, old and new ones must promise") {
+  for (const char* promising : {"c", "d"}) {
+    CoordinatorLease lease = Holder();
+    lease.OnCandidates(std::vector<Candidate>{{Ref("b"), "z"}, {Ref("d"), "z"}}, At(6'000));
+    REQUIRE(WriteIn(lease.Tick(At(6'500)))->record.standbys == std::vector{Ref("d")});
+    for (std::int64_t ms = 7'000; ms <= 12'000; ms += 1'000) {
+      const LeaseDecisions decisions = lease.Tick(At(ms));
+      if (!decisions.empty()) {
+        lease.OnPromise(Answer(promising, decisions), At(ms + 10));
+      }
+    }
+    REQUIRE_FALSE(lease.IsHolder(At(12'000)));
+  }
+}
+
+TEST_CASE("A host that is no standby needs messages of successors from well after its read") {
+  CoordinatorLease lease({"north", Ref("z"), "z", base::Duration::Seconds(100)}, {});
+  lease.Tick({});
+  lease.OnRecordRead(RegionRecord{4, Ref("a"), {Ref("b")}, {}, 9}, 17, {});
+  for (const std::int64_t ms : {4'900, 5'000}) {
+    lease.OnAttestation({"a", "a", 2}, At(ms));
+    REQUIRE(WriteIn(lease.Tick(At(ms))) == nullptr);
+    lease.OnAttestation({"b", "b", 2}, At(ms));
+    REQUIRE((WriteIn(lease.Tick(At(ms))) != nullptr) == (ms == 5'000));
+    lease.OnReadFailed(At(ms));
+  }
+}
+
+TEST_CASE("A host that is no standby takes over after the outage limit, the term and the margin") {
+  CoordinatorLease lease({"north", Ref("z"), "z", base::Duration::Seconds(100)}, {});
+  lease.Tick({});
+  lease.OnRecordRead(RegionRecord{4, Ref("a"), {Ref("b")}, {}, 9}, 17, {});
+  REQUIRE(WriteIn(lease.Tick(At(104'900))) == nullptr);
+  lease.OnRecordRead(lease.record(), 17, At(104'950));
+  REQUIRE(WriteIn(lease.Tick(At(105'000))) != nullptr);
+}
+
 TEST_CASE("A grantee must be named by every record that the store may hold") {
-  CoordinatorLease lease = Standby();
-  lease.Tick(At(5'000));
-  lease.OnWriteDone(WriteResult::kAccepted, 18, At(5'010));
+  CoordinatorLease lease = Holder();
   REQUIRE(lease.IsGrantee(Ref("x")));
   lease.SetGrantees({Ref("y"), Ref("z")});
   lease.Tick(At(6'500));
