Describe the table for operators; refuse control characters in free text

Authors and summaries come from the command line and are shown on other operators' terminals, so escape sequences in them are refused. Column widths count characters instead of bytes: names with letters of several bytes shifted the columns.

--- a/src/table/internal/service_reader.cc
+++ b/src/table/internal/service_reader.cc
@@ -100,7 +100,8 @@
   Route route;
   route.prefix = reader.String("prefix");
   if (reader.Has("prefix") && (route.prefix.empty() || route.prefix.front() != '/' ||
-                               route.prefix.find_first_of("?#%\\ ") != std::string::npos)) {
+                               route.prefix.find_first_of("?#%\\ ") != std::string::npos ||
+                               HasControlCharacter(route.prefix))) {
     reader.Fail("prefix", "a path with a leading slash, without ?, #, %, \\ and spaces",
                 '"' + route.prefix + '"');
   }
--- a/src/table/internal/table_reader.cc
+++ b/src/table/internal/table_reader.cc
@@ -59,14 +59,27 @@
   return name;
 }
 
+bool HasControlCharacter(std::string_view text) {
+  return std::any_of(text.begin(), text.end(),
+                     [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; });
+}
+
+std::string ReadText(Reader& reader, std::string_view field) {
+  std::string text = reader.String(field);
+  if (HasControlCharacter(text)) {
+    reader.Fail(field, "text of one line without control characters", "some");
+  }
+  return text;
+}
+
 TableReader::TableReader(const jsonc::Value& root, jsonc::FaultList& faults)
     : faults_(faults), root_(root, "", faults) {}
 
 Table TableReader::Read() {
   table_.revision = static_cast<base::Revision>(root_.Integer("revision", {.min = 1}));
-  table_.author = root_.String("author");
+  table_.author = ReadText(root_, "author");
   table_.time_unix_ms = root_.Integer("time_unix_ms", {});
-  table_.edit_id = root_.String("edit_id");
+  table_.edit_id = ReadText(root_, "edit_id");
   table_.lookup_ttl_ms = static_cast<std::uint32_t>(
       root_.IntegerOr("lookup_ttl_ms", kLookupTtlMs, table_.lookup_ttl_ms));
   ReadHistory();
@@ -82,11 +95,11 @@
   std::set<std::string> edits;
   for (Reader& reader : root_.ObjectsIfAny("history")) {
     HistoryEntry entry;
-    entry.edit_id = reader.String("edit_id");
+    entry.edit_id = ReadText(reader, "edit_id");
     entry.revision = static_cast<base::Revision>(reader.Integer("revision", {.min = 1}));
-    entry.author = reader.String("author");
+    entry.author = ReadText(reader, "author");
     entry.time_unix_ms = reader.Integer("time_unix_ms", {});
-    entry.summary = reader.String("summary");
+    entry.summary = ReadText(reader, "summary");
     reader.RefuseUnknownFields();
     if (!edits.insert(entry.edit_id).second) {
       reader.Fail("edit_id", "each edit once", '"' + entry.edit_id + "\" a second time");
--- a/src/table/internal/table_reader.h
+++ b/src/table/internal/table_reader.h
@@ -54,4 +54,10 @@
 /// metric labels and keys of the store.
 std::string ReadName(jsonc::Reader& reader, std::string_view field);
 
+/// Free text of one line. Control characters are refused, since they would steer the terminal of
+/// whoever shows the table.
+std::string ReadText(jsonc::Reader& reader, std::string_view field);
+
+bool HasControlCharacter(std::string_view text);
+
 }  // namespace mangonotch::table::internal
--- a/src/table/internal/text_grid.cc
+++ b/src/table/internal/text_grid.cc
@@ -2,21 +2,33 @@
 #include "table/internal/text_grid.h"
 
 #include <algorithm>
+#include <string_view>
 
 namespace mangonotch::table::internal {
 
+namespace {
+
+/// Characters of a UTF-8 text: its bytes without continuation bytes.
+std::size_t Width(std::string_view text) {
+  return static_cast<std::size_t>(std::count_if(text.begin(), text.end(), [](char c) {
+    return (static_cast<unsigned char>(c) & 0xc0U) != 0x80U;
+  }));
+}
+
+}  // namespace
+
 std::string TextGrid::Text(std::size_t indent) const {
   std::vector<std::size_t> widths(rows_.front().size(), 0);
   for (const auto& row : rows_) {
     for (std::size_t i = 0; i < row.size(); ++i) {
-      widths[i] = std::max(widths[i], row[i].size());
+      widths[i] = std::max(widths[i], Width(row[i]));
     }
   }
   std::string text;
   for (const auto& row : rows_) {
     std::string line(indent, ' ');
     for (std::size_t i = 0; i < row.size(); ++i) {
-      const std::string padding(widths[i] - row[i].size(), ' ');
+      const std::string padding(widths[i] - Width(row[i]), ' ');
       line += IsNumeric(i) ? padding + row[i] : row[i] + padding;
       line += "  ";
     }
--- a/src/table/tests/edit_review_test.cc
+++ b/src/table/tests/edit_review_test.cc
@@ -114,6 +114,11 @@
     CAPTURE(part, text);
     REQUIRE(text.find(part) != std::string::npos);
   }
+  // An author with letters of several bytes must not shift the columns.
+  const std::string author =
+      RenderText(SampleWith("\"author\": \"aino\", \"time_unix_ms\": 1000, \"summary\"",
+                            "\"author\": \"äinö\", \"time_unix_ms\": 1000, \"summary\""));
+  REQUIRE(author.find("UTC  äinö    e7    x") != std::string::npos);
   REQUIRE(FormatUtc(1'709'251'199'000) == "2024-02-29 23:59:59 UTC");
   REQUIRE(FormatUtc(4'107'542'400'000) == "2100-03-01 00:00:00 UTC");
 }
--- a/src/table/tests/table_test.cc
+++ b/src/table/tests/table_test.cc
@@ -116,6 +116,12 @@
           .path == "revision");
 }
 
+TEST_CASE("Free text cannot steer the terminal of whoever shows it") {
+  REQUIRE(FaultsOf(Replaced(SampleText(), "\"summary\": \"x\"", "\"summary\": \"\\u001b[2J\""))
+              .at(0)
+              .path == "history[0].summary");
+}
+
 TEST_CASE("A missing link is a fault, since work that moves would have no bandwidth") {
   const auto faults = FaultsOf(Replaced(
       SampleText(), "{\"from\": \"north\", \"to\": \"south\", \"bytes_per_s\": 500},", ""));
