--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -88,10 +88,25 @@
   out << response.body;
 }
 
+/// Keeps the connection of a request from being ended while its handler runs.
+class HandlingMark {
+ public:
+  HandlingMark(ConnectionReaper& reaper, int fd) : reaper_(reaper), fd_(fd) {
+    reaper_.Mark(fd_, ConnectionReaper::Phase::kHandling);
+  }
+  HandlingMark(const HandlingMark&) = delete;
+  HandlingMark& operator=(const HandlingMark&) = delete;
+  ~HandlingMark() { reaper_.Unmark(fd_); }
+
+ private:
+  ConnectionReaper& reaper_;
+  int fd_;
+};
+
 class SinkResponder : public cxxtools::http::Responder {
  public:
-  SinkResponder(cxxtools::http::Service& service, RequestSink& sink)
-      : Responder(service), sink_(sink) {}
+  SinkResponder(cxxtools::http::Service& service, RequestSink& sink, ConnectionReaper& reaper)
+      : Responder(service), sink_(sink), reaper_(reaper) {}
 
   void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& /*in*/,
                     cxxtools::http::Request& request) override {
@@ -104,6 +119,7 @@
       throw RefusedRequest(refusal);
     }
     body_left_ = request.header().contentLength();
+    reaper_.Mark(incoming_.socket, ConnectionReaper::Phase::kReading);
     if (request.hasHeader("Expect")) {
       // cxxtools never sends it, and a caller that asks for it would wait.
       constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -127,6 +143,7 @@
 
   void reply(std::ostream& out, cxxtools::http::Request& request,
              cxxtools::http::Reply& reply) override {
+    const HandlingMark mark(reaper_, incoming_.socket);
     incoming_.head = HeadOf(request);
     Write(sink_.Handle(incoming_), out, reply);
   }
@@ -148,6 +165,7 @@
 
  private:
   RequestSink& sink_;
+  ConnectionReaper& reaper_;
   IncomingRequest incoming_;
   std::size_t body_left_ = 0;
 };
@@ -155,14 +173,17 @@
 class SinkService : public cxxtools::http::Service {
  public:
   explicit SinkService(RequestSink& sink) : sink_(sink) {}
+  /// Before the first request.
+  void set_reaper(ConnectionReaper& reaper) { reaper_ = &reaper; }
 
  private:
   cxxtools::http::Responder* createResponder(const cxxtools::http::Request& /*request*/) override {
-    return new SinkResponder(*this, sink_);
+    return new SinkResponder(*this, sink_, *reaper_);
   }
   void releaseResponder(cxxtools::http::Responder* responder) override { delete responder; }
 
   RequestSink& sink_;
+  ConnectionReaper* reaper_ = nullptr;
 };
 
 }  // namespace
@@ -173,11 +194,14 @@
     server_ = std::make_unique<cxxtools::http::Server>(loop_);
     server_->minThreads(settings.threads < 4 ? settings.threads : 4);
     server_->maxThreads(settings.threads);
-    server_->readTimeout(cxxtools::Milliseconds(settings.read_timeout_ms));
-    server_->writeTimeout(cxxtools::Milliseconds(settings.write_timeout_ms));
-    server_->keepAliveTimeout(cxxtools::Milliseconds(settings.idle_timeout_ms));
+    // The reaper does the work of these timers; see there for the reason.
+    server_->readTimeout(kNeverMs);
+    server_->writeTimeout(kNeverMs);
+    server_->keepAliveTimeout(kNeverMs);
     server_->addService(cxxtools::Regex(".*"), service_);
     Listen(settings);
+    reaper_ = std::make_unique<ConnectionReaper>(port_, settings.timeouts);
+    service_.set_reaper(*reaper_);
     thread_ = std::thread([this] { loop_.run(); });
   }
   Impl(const Impl&) = delete;
@@ -191,6 +215,7 @@
       return;
     }
     RefuseNewConnections();
+    reaper_->EndAll();
     loop_.exit();
     thread_.join();
     server_.reset();
@@ -228,10 +253,15 @@
     port_ = reservation.port();
   }
 
+  static constexpr std::chrono::hours kNever{24};
+  const cxxtools::Milliseconds kNeverMs{
+      static_cast<double>(std::chrono::milliseconds(kNever).count())};
+
   cxxtools::EventLoop loop_;
   SinkService service_;
   std::unique_ptr<cxxtools::http::Server> server_;
   std::uint16_t port_ = 0;
+  std::unique_ptr<ConnectionReaper> reaper_;
   std::thread thread_;  // Runs loop_; the requests run on the threads of server_.
 };
 
--- a/src/http/internal/listener.h
+++ b/src/http/internal/listener.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/internal/connection_reaper.h"
 #include "http/internal/request_check.h"
 
 namespace mangonotch::http::internal {
@@ -43,9 +44,7 @@
   std::string address;
   std::uint16_t port = 0;
   unsigned threads = 1;
-  int read_timeout_ms = 0;
-  int write_timeout_ms = 0;
-  int idle_timeout_ms = 0;
+  ReaperSettings timeouts;
 };
 
 class Listener {
--- a/src/http/internal/listening_socket.cc
+++ b/src/http/internal/listening_socket.cc
@@ -7,10 +7,8 @@
 #include <sys/socket.h>
 
 #include <array>
-#include <charconv>
-#include <filesystem>
-#include <string>
-#include <system_error>
+
+#include "http/internal/open_files.h"
 
 namespace mangonotch::http::internal {
 namespace {
@@ -28,11 +26,7 @@
 }  // namespace
 
 ListeningSocket ListeningSocket::Find(std::uint16_t port) {
-  std::error_code ec;
-  for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd", ec)) {
-    const std::string name = entry.path().filename();
-    int fd = -1;
-    std::from_chars(name.data(), name.data() + name.size(), fd);
+  for (const int fd : OpenFiles()) {
     if (ListensOn(fd, port)) {
       return ListeningSocket(fd);
     }
--- a/src/http/internal/server.cc
+++ b/src/http/internal/server.cc
@@ -38,9 +38,8 @@
         address,
         port,
         limits.threads,
-        static_cast<int>(limits.read_timeout.milliseconds()),
-        static_cast<int>(limits.write_timeout.milliseconds()),
-        static_cast<int>(limits.idle_timeout.milliseconds()),
+        {static_cast<int>(limits.read_timeout.milliseconds()),
+         static_cast<int>(limits.idle_timeout.milliseconds())},
     };
     listener_ = std::make_unique<internal::Listener>(settings, *this);
   }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -46,9 +46,10 @@
 
 struct ServerLimits {
   unsigned threads = 64;  // Requests that run at the same time; more wait for a thread.
+  /// Without a byte, while the body of a request is not whole.
   base::Duration read_timeout = base::Duration::Seconds(10);
-  base::Duration write_timeout = base::Duration::Seconds(10);
-  base::Duration idle_timeout = base::Duration::Seconds(15);  // Of a kept-alive connection.
+  /// Without a byte in either direction, while no request is read or handled.
+  base::Duration idle_timeout = base::Duration::Seconds(15);
   std::size_t body_bytes = 1 << 20;
   std::size_t url_bytes = 2048;
 };
--- a/src/http/tests/server_test.cc
+++ b/src/http/tests/server_test.cc
@@ -217,6 +217,59 @@
   CHECK(echo.Ask("GET /b HTTP/1.0\r\n\r\n").ends_with("GET /b "));
 }
 
+TEST_CASE("Half requests and idle connections end after their time, a running request does not") {
+  ServerLimits limits;
+  limits.read_timeout = base::Duration::Milliseconds(50);
+  limits.idle_timeout = base::Duration::Milliseconds(50);
+  Server server("127.0.0.1", 0, limits, [](const Request& request) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(request.path == "/slow" ? 300 : 0));
+    return Response();
+  });
+  const auto start = [&](std::string_view bytes) {
+    RawConnection connection = RawConnection::To(server.port());
+    connection.Write(bytes);
+    return connection;
+  };
+  const auto slow = start("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto half_head = start("GET /a HT");
+  const auto half_body = start("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc");
+  const auto idle = start("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(half_head.Ended());
+  CHECK(half_body.Ended());
+  CHECK(idle.ReadToEnd().starts_with("HTTP/1.1 200 "));
+  CHECK(slow.ReadToEnd().starts_with("HTTP/1.1 200 "));
+}
+
+TEST_CASE("Callers that close half requests as their time ends do not crash the process") {
+  constexpr int kRounds = 15;
+  constexpr int kConnections = 40;
+  constexpr int kTimeoutMs = 40;
+  ServerLimits limits;
+  limits.threads = 8;
+  limits.read_timeout = base::Duration::Milliseconds(kTimeoutMs);
+  limits.idle_timeout = base::Duration::Milliseconds(kTimeoutMs);
+  EchoServer echo(limits);
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<RawConnection> connections;
+    for (int i = 0; i < kConnections; ++i) {
+      connections.push_back(RawConnection::To(echo.server().port()));
+      connections.back().Write("GET /a HT");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(kTimeoutMs - 2 + round % 5));
+  }
+  CHECK(echo.Ask("GET /b HTTP/1.0\r\n\r\n").ends_with("GET /b "));
+}
+
+TEST_CASE("A stop does not wait for callers with half requests") {
+  EchoServer echo;
+  const RawConnection half = RawConnection::To(echo.server().port());
+  half.Write("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc");
+  echo.Ask("GET /b HTTP/1.0\r\n\r\n");
+  echo.server().Stop();
+  CHECK(half.Ended());
+  CHECK(echo.calls() == 1);
+}
+
 TEST_CASE("A stop answers requests in flight and refuses new ones with certainty") {
   std::promise<void> started;
   std::promise<void> release;
