--- a/src/http/internal/connection_reaper.cc
+++ b/src/http/internal/connection_reaper.cc
@@ -2,8 +2,10 @@
 #include "http/internal/connection_reaper.h"
 
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -55,6 +57,11 @@
   return std::min(info.tcpi_last_data_recv, info.tcpi_last_data_sent);
 }
 
+bool HasUnsent(int fd) {
+  int n = 0;
+  return ioctl(fd, SIOCOUTQ, &n) == 0 && n > 0;
+}
+
 }  // namespace
 
 ConnectionReaper::ConnectionReaper(std::uint16_t port, const ReaperSettings& settings)
@@ -65,18 +72,31 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     stopped_ = true;
   }
-  stop_.notify_all();
+  changed_.notify_all();
   thread_.join();
 }
 
 void ConnectionReaper::Mark(int fd, Phase phase) {
   const std::lock_guard<std::mutex> lock(mutex_);
   phases_[fd] = phase;
+  changed_.notify_all();
 }
 
-void ConnectionReaper::Unmark(int fd) {
+void ConnectionReaper::Unmark(int fd, Phase phase) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  phases_.erase(fd);
+  const auto it = phases_.find(fd);
+  if (it != phases_.end() && it->second == phase) {
+    phases_.erase(it);
+    changed_.notify_all();
+  }
+}
+
+void ConnectionReaper::AwaitAnswers() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  changed_.wait(lock, [this] {
+    return std::all_of(phases_.begin(), phases_.end(),
+                       [](const auto& it) { return it.second == Phase::kClosing; });
+  });
 }
 
 void ConnectionReaper::Run() {
@@ -84,35 +104,41 @@
   const std::chrono::milliseconds check(
       std::clamp(shortest / kChecksInTimeout, 1, kLongestCheckMs));
   std::unique_lock<std::mutex> lock(mutex_);
-  while (!stop_.wait_for(lock, check, [this] { return stopped_; })) {
+  while (!changed_.wait_for(lock, check, [this] { return stopped_; })) {
     lock.unlock();
     Reap(false);
     lock.lock();
   }
 }
 
-void ConnectionReaper::Reap(bool all) {
+void ConnectionReaper::Reap(bool stopping) {
   for (const int fd : OpenFiles()) {
-    ReapOne(fd, all);
+    ReapOne(fd, stopping);
   }
 }
 
-void ConnectionReaper::ReapOne(int fd, bool all) {
+void ConnectionReaper::ReapOne(int fd, bool stopping) {
   const Duplicate connection(fd);
   if (!IsAccepted(connection.fd(), port_)) {
     return;
   }
   // Held until the shutdown, so that no handler starts between the check and it.
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (MayEnd(fd, connection.fd(), stopping)) {
+    shutdown(connection.fd(), SHUT_RDWR);
+  }
+}
+
+bool ConnectionReaper::MayEnd(int fd, int connection, bool stopping) const {
   const auto it = phases_.find(fd);
-  if (it != phases_.end() && it->second == Phase::kHandling) {
-    return;
+  if (stopping) {
+    return it == phases_.end() && !HasUnsent(connection);
   }
-  const bool reading = it != phases_.end();
-  const int limit = reading ? settings_.read_timeout_ms : settings_.idle_timeout_ms;
-  if (all || IdleMs(connection.fd()) > limit) {
-    shutdown(connection.fd(), SHUT_RDWR);
+  if (it != phases_.end() && it->second == Phase::kHandling) {
+    return false;
   }
+  const bool reading = it != phases_.end() && it->second == Phase::kReading;
+  return IdleMs(connection) > (reading ? settings_.read_timeout_ms : settings_.idle_timeout_ms);
 }
 
 }  // namespace mangonotch::http::internal
--- a/src/http/internal/connection_reaper.h
+++ b/src/http/internal/connection_reaper.h
@@ -23,6 +23,7 @@
   enum class Phase {
     kReading,   // The header of a request is there, its body is not.
     kHandling,  // A handler runs: the connection is not ended.
+    kClosing,   // The answer is on its way, and cxxtools closes the connection after it.
   };
 
   /// Watches the accepted connections of the listening socket on `port`.
@@ -32,19 +33,23 @@
   ~ConnectionReaper();
 
   void Mark(int fd, Phase phase);
-  void Unmark(int fd);
-  /// Ends every connection on which no handler runs.
-  void EndAll() { Reap(true); }
+  /// Removes the mark when it is `phase`.
+  void Unmark(int fd, Phase phase);
+  /// Returns when no request is read or handled. Requests that stay half end by their time-out.
+  void AwaitAnswers();
+  /// Ends every connection without a mark on which no answer is on its way.
+  void EndIdle() { Reap(true); }
 
  private:
   void Run();
-  void Reap(bool all);
-  void ReapOne(int fd, bool all);
+  void Reap(bool stopping);
+  void ReapOne(int fd, bool stopping);
+  bool MayEnd(int fd, int connection, bool stopping) const;
 
   const std::uint16_t port_;
   const ReaperSettings settings_;
   std::mutex mutex_;
-  std::condition_variable stop_;
+  std::condition_variable changed_;
   // Both are guarded by mutex_.
   std::map<int, Phase> phases_;  // A connection that closes while reading leaves its entry to the
                                  // next of its number.
--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -88,7 +88,8 @@
   out << response.body;
 }
 
-/// Keeps the connection of a request from being ended while its handler runs.
+/// Keeps the connection of a request from being ended while its handler runs. When the handler
+/// throws, the connection is closed after the answer.
 class HandlingMark {
  public:
   HandlingMark(ConnectionReaper& reaper, int fd) : reaper_(reaper), fd_(fd) {
@@ -96,17 +97,31 @@
   }
   HandlingMark(const HandlingMark&) = delete;
   HandlingMark& operator=(const HandlingMark&) = delete;
-  ~HandlingMark() { reaper_.Unmark(fd_); }
+  ~HandlingMark() {
+    if (keep_) {
+      reaper_.Unmark(fd_, ConnectionReaper::Phase::kHandling);
+    } else {
+      reaper_.Mark(fd_, ConnectionReaper::Phase::kClosing);
+    }
+  }
+  void set_keep(bool keep) { keep_ = keep; }
 
  private:
   ConnectionReaper& reaper_;
   int fd_;
+  bool keep_ = false;
 };
 
 class SinkResponder : public cxxtools::http::Responder {
  public:
   SinkResponder(cxxtools::http::Service& service, RequestSink& sink, ConnectionReaper& reaper)
       : Responder(service), sink_(sink), reaper_(reaper) {}
+  SinkResponder(const SinkResponder&) = delete;
+  SinkResponder& operator=(const SinkResponder&) = delete;
+  ~SinkResponder() override {
+    // The caller closed its connection before the body was whole.
+    reaper_.Unmark(incoming_.socket, ConnectionReaper::Phase::kReading);
+  }
 
   void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& /*in*/,
                     cxxtools::http::Request& request) override {
@@ -116,6 +131,7 @@
     const RequestHead head = HeadOf(request);
     const Refusal refusal = sink_.CheckHead(head);
     if (refusal != Refusal::kNone) {
+      reaper_.Mark(incoming_.socket, ConnectionReaper::Phase::kClosing);
       throw RefusedRequest(refusal);
     }
     body_left_ = request.header().contentLength();
@@ -143,9 +159,11 @@
 
   void reply(std::ostream& out, cxxtools::http::Request& request,
              cxxtools::http::Reply& reply) override {
-    const HandlingMark mark(reaper_, incoming_.socket);
+    HandlingMark mark(reaper_, incoming_.socket);
     incoming_.head = HeadOf(request);
-    Write(sink_.Handle(incoming_), out, reply);
+    const OutgoingResponse response = sink_.Handle(incoming_);
+    Write(response, out, reply);
+    mark.set_keep(!response.close);
   }
 
   void replyError(std::ostream& out, cxxtools::http::Request& /*request*/,
@@ -215,7 +233,8 @@
       return;
     }
     RefuseNewConnections();
-    reaper_->EndAll();
+    reaper_->AwaitAnswers();
+    reaper_->EndIdle();
     loop_.exit();
     thread_.join();
     server_.reset();
--- a/src/http/tests/raw_peer.h
+++ b/src/http/tests/raw_peer.h
@@ -69,6 +69,20 @@
     return seen;
   }
   std::string ReadToEnd() const { return ReadUntil(""); }
+  /// Reads `n` bytes, fewer when the connection ended; returns how many.
+  std::size_t Skip(std::size_t n) const {
+    std::string buf(64 << 10, '\0');
+    std::size_t seen = 0;
+    while (seen < n) {
+      pollfd fd{fd_, POLLIN, 0};
+      const ssize_t got = poll(&fd, 1, 5000) > 0 ? recv(fd_, buf.data(), buf.size(), 0) : 0;
+      if (got <= 0) {
+        break;
+      }
+      seen += static_cast<std::size_t>(got);
+    }
+    return seen;
+  }
   /// True when the peer ended the connection within 5 s.
   bool Ended() const {
     pollfd fd{fd_, POLLRDHUP, 0};
