--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -88,10 +88,40 @@
   out << response.body;
 }
 
+/// Keeps the connection of a request from being ended while its handler runs. When the handler
+/// throws, the connection is closed after the answer.
+class HandlingMark {
+ public:
+  HandlingMark(ConnectionReaper& reaper, int fd) : reaper_(reaper), fd_(fd) {
+    reaper_.Mark(fd_, ConnectionReaper::Phase::kHandling);
+  }
+  HandlingMark(const HandlingMark&) = delete;
+  HandlingMark& operator=(const HandlingMark&) = delete;
+  ~HandlingMark() {
+    if (keep_) {
+      reaper_.Unmark(fd_, ConnectionReaper::Phase::kHandling);
+    } else {
+      reaper_.Mark(fd_, ConnectionReaper::Phase::kClosing);
+    }
+  }
+  void set_keep(bool keep) { keep_ = keep; }
+
+ private:
+  ConnectionReaper& reaper_;
+  int fd_;
+  bool keep_ = false;
+};
+
 class SinkResponder : public cxxtools::http::Responder {
  public:
-  SinkResponder(cxxtools::http::Service& service, RequestSink& sink)
-      : Responder(service), sink_(sink) {}
+  SinkResponder(cxxtools::http::Service& service, RequestSink& sink, ConnectionReaper& reaper)
+      : Responder(service), sink_(sink), reaper_(reaper) {}
+  SinkResponder(const SinkResponder&) = delete;
+  SinkResponder& operator=(const SinkResponder&) = delete;
+  ~SinkResponder() override {
+    // The caller closed its connection before the body was whole.
+    reaper_.Unmark(incoming_.socket, ConnectionReaper::Phase::kReading);
+  }
 
   void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& /*in*/,
                     cxxtools::http::Request& request) override {
@@ -101,9 +131,11 @@
     const RequestHead head = HeadOf(request);
     const Refusal refusal = sink_.CheckHead(head);
     if (refusal != Refusal::kNone) {
+      reaper_.Mark(incoming_.socket, ConnectionReaper::Phase::kClosing);
       throw RefusedRequest(refusal);
     }
     body_left_ = request.header().contentLength();
+    reaper_.Mark(incoming_.socket, ConnectionReaper::Phase::kReading);
     if (request.hasHeader("Expect")) {
       // cxxtools never sends it, and a caller that asks for it would wait.
       constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -127,8 +159,11 @@
 
   void reply(std::ostream& out, cxxtools::http::Request& request,
              cxxtools::http::Reply& reply) override {
+    HandlingMark mark(reaper_, incoming_.socket);
     incoming_.head = HeadOf(request);
-    Write(sink_.Handle(incoming_), out, reply);
+    const OutgoingResponse response = sink_.Handle(incoming_);
+    Write(response, out, reply);
+    mark.set_keep(!response.close);
   }
 
   void replyError(std::ostream& out, cxxtools::http::Request& /*request*/,
@@ -148,6 +183,7 @@
 
  private:
   RequestSink& sink_;
+  ConnectionReaper& reaper_;
   IncomingRequest incoming_;
   std::size_t body_left_ = 0;
 };
@@ -155,14 +191,17 @@
 class SinkService : public cxxtools::http::Service {
  public:
   explicit SinkService(RequestSink& sink) : sink_(sink) {}
+  /// Before the first request.
+  void set_reaper(ConnectionReaper& reaper) { reaper_ = &reaper; }
 
  private:
   cxxtools::http::Responder* createResponder(const cxxtools::http::Request& /*request*/) override {
-    return new SinkResponder(*this, sink_);
+    return new SinkResponder(*this, sink_, *reaper_);
   }
   void releaseResponder(cxxtools::http::Responder* responder) override { delete responder; }
 
   RequestSink& sink_;
+  ConnectionReaper* reaper_ = nullptr;
 };
 
 }  // namespace
@@ -173,11 +212,14 @@
     server_ = std::make_unique<cxxtools::http::Server>(loop_);
     server_->minThreads(settings.threads < 4 ? settings.threads : 4);
     server_->maxThreads(settings.threads);
-    server_->readTimeout(cxxtools::Milliseconds(settings.read_timeout_ms));
-    server_->writeTimeout(cxxtools::Milliseconds(settings.write_timeout_ms));
-    server_->keepAliveTimeout(cxxtools::Milliseconds(settings.idle_timeout_ms));
+    // The reaper does the work of these timers; see there for the reason.
+    server_->readTimeout(kNeverMs);
+    server_->writeTimeout(kNeverMs);
+    server_->keepAliveTimeout(kNeverMs);
     server_->addService(cxxtools::Regex(".*"), service_);
     Listen(settings);
+    reaper_ = std::make_unique<ConnectionReaper>(port_, settings.timeouts);
+    service_.set_reaper(*reaper_);
     thread_ = std::thread([this] { loop_.run(); });
   }
   Impl(const Impl&) = delete;
@@ -191,6 +233,8 @@
       return;
     }
     RefuseNewConnections();
+    reaper_->AwaitAnswers();
+    reaper_->EndIdle();
     loop_.exit();
     thread_.join();
     server_.reset();
@@ -228,10 +272,15 @@
     port_ = reservation.port();
   }
 
+  static constexpr std::chrono::hours kNever{24};
+  const cxxtools::Milliseconds kNeverMs{
+      static_cast<double>(std::chrono::milliseconds(kNever).count())};
+
   cxxtools::EventLoop loop_;
   SinkService service_;
   std::unique_ptr<cxxtools::http::Server> server_;
   std::uint16_t port_ = 0;
+  std::unique_ptr<ConnectionReaper> reaper_;
   std::thread thread_;  // Runs loop_; the requests run on the threads of server_.
 };
 
--- a/src/http/tests/server_test.cc
+++ b/src/http/tests/server_test.cc
@@ -217,6 +217,86 @@
   CHECK(echo.Ask("GET /b HTTP/1.0\r\n\r\n").ends_with("GET /b "));
 }
 
+TEST_CASE("Half requests and idle connections end after their time, a running request does not") {
+  ServerLimits limits;
+  limits.read_timeout = base::Duration::Milliseconds(50);
+  limits.idle_timeout = base::Duration::Milliseconds(50);
+  Server server("127.0.0.1", 0, limits, [](const Request& request) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(request.path == "/slow" ? 300 : 0));
+    return Response();
+  });
+  const auto start = [&](std::string_view bytes) {
+    RawConnection connection = RawConnection::To(server.port());
+    connection.Write(bytes);
+    return connection;
+  };
+  const auto slow = start("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+  const auto half_head = start("GET /a HT");
+  const auto half_body = start("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc");
+  const auto idle = start("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(half_head.Ended());
+  CHECK(half_body.Ended());
+  CHECK(idle.ReadToEnd().starts_with("HTTP/1.1 200 "));
+  CHECK(slow.ReadToEnd().starts_with("HTTP/1.1 200 "));
+}
+
+TEST_CASE("Callers that close half requests as their time ends do not crash the process") {
+  constexpr int kRounds = 15;
+  constexpr int kConnections = 40;
+  constexpr int kTimeoutMs = 40;
+  ServerLimits limits;
+  limits.threads = 8;
+  limits.read_timeout = base::Duration::Milliseconds(kTimeoutMs);
+  limits.idle_timeout = base::Duration::Milliseconds(kTimeoutMs);
+  EchoServer echo(limits);
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<RawConnection> connections;
+    for (int i = 0; i < kConnections; ++i) {
+      connections.push_back(RawConnection::To(echo.server().port()));
+      connections.back().Write("GET /a HT");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(kTimeoutMs - 2 + round % 5));
+  }
+  CHECK(echo.Ask("GET /b HTTP/1.0\r\n\r\n").ends_with("GET /b "));
+}
+
+TEST_CASE(
+    "A stop waits for the rest of a body, and for callers that never send it only their time") {
+  ServerLimits limits;
+  limits.read_timeout = base::Duration::Milliseconds(500);
+  EchoServer echo(limits);
+  const std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc";
+  const RawConnection half = RawConnection::To(echo.server().port());
+  const RawConnection slow = RawConnection::To(echo.server().port());
+  half.Write(head);
+  slow.Write(head);
+  echo.Ask("GET /b HTTP/1.0\r\n\r\n");
+  auto stopped = std::async(std::launch::async, [&] { echo.server().Stop(); });
+  while (!echo.server().stopping()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  slow.Write("def");
+  CHECK(slow.ReadToEnd().ends_with("POST /a abcdef"));
+  CHECK(half.ReadToEnd().empty());
+  CHECK(stopped.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+}
+
+TEST_CASE("A stop lets a large answer reach a caller that reads slowly") {
+  const std::string large(8 << 20, 'a');
+  Server server("127.0.0.1", 0, {}, [&](const Request&) {
+    Response response;
+    response.body = large;
+    return response;
+  });
+  const RawConnection caller = RawConnection::To(server.port());
+  caller.Write("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  caller.ReadUntil("\r\n\r\n");
+  auto stopped = std::async(std::launch::async, [&] { server.Stop(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  CHECK(caller.Skip(large.size()) == large.size());
+}
+
 TEST_CASE("A stop answers requests in flight and refuses new ones with certainty") {
   std::promise<void> started;
   std::promise<void> release;
