End a dispatched run as unknown when its runner reports that nothing was written

The register already refused not-run for such a run, but left it in progress, so its waiters slept until their own deadlines and it counted as running until its entry left. The test that pinned the refusal now also requires that the run is over: a repeat is told unknown instead of to join.

--- a/src/ticket/internal/register.cc
+++ b/src/ticket/internal/register.cc
@@ -152,6 +152,10 @@
   if (entry->state == State::kRunning) {
     entry->state = State::kVoid;
     --running_;
+  } else if (entry->state == State::kDispatched) {
+    // The run is over either way, and its waiters must not wait on.
+    entry->state = State::kUnknown;
+    --running_;
   }
   return entry->state == State::kVoid;
 }
--- a/src/ticket/register.h
+++ b/src/ticket/register.h
@@ -55,8 +55,9 @@
   bool Finish(RunHandle run, RunOutcome outcome, std::span<const std::byte> answer);
 
   /// Ends a run of which nothing was written. Voids the ticket, since the caller is told `not-run`
-  /// and another copy of the request may still be on its way. False when the run was dispatched or
-  /// its entry has left: the caller must then not be told `not-run`.
+  /// and another copy of the request may still be on its way. False when the run was dispatched,
+  /// which ends it as unknown, or when its entry has left: the caller must then not be told
+  /// `not-run`.
   [[nodiscard]] bool FinishNotRun(RunHandle run);
 
   VoidVerdict VoidIfNotDispatched(const Ticket& ticket);
--- a/src/ticket/tests/register_test.cc
+++ b/src/ticket/tests/register_test.cc
@@ -93,10 +93,11 @@
   REQUIRE(tickets.running() == 0);
 }
 
-TEST_CASE_METHOD(Fixture, "A dispatched run cannot end as not-run") {
+TEST_CASE_METHOD(Fixture, "A dispatched run that is ended as not-run becomes unknown") {
   const RunHandle run = Dispatch();
   REQUIRE_FALSE(tickets.FinishNotRun(run));
-  REQUIRE(Begin() == BeginVerdict::kJoin);
+  REQUIRE(Begin() == BeginVerdict::kOutcomeUnknown);
+  REQUIRE(tickets.running() == 0);
   REQUIRE(tickets.MarkDispatched(run, kNever, At(1)) == DispatchVerdict::kNoRun);
 }
 
