--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -33,6 +33,7 @@
       sum.attempts += one.attempts;
       sum.refused += one.refused;
       sum.at_slow += one.at_slow;
+      sum.failed += one.failed;
       sum.drain_seconds = std::max(sum.drain_seconds, one.drain_seconds);
       sum.longest_in_flight = std::max(sum.longest_in_flight, one.longest_in_flight);
       sum.started_after_mark += one.started_after_mark;
@@ -108,6 +109,17 @@
               100.0 * static_cast<double>(result.refused) / static_cast<double>(result.requests));
 }
 
+/// A worker that fails at once always looks idle, so it draws work until it is ejected.
+template <typename Policy>
+void RunFailingWorker(const Variant<Policy>& variant) {
+  const ModelResult result = variant.Run({.load = 0.6, .first_failing = 11});
+  const auto requests = static_cast<double>(result.requests);
+  std::printf("%-26s %4.2f  %-22s failed %.4f%%, attempts per request %.5f\n",
+              "1 of 12 fails at once", 0.6, variant.name,
+              100.0 * static_cast<double>(result.failed) / requests,
+              static_cast<double>(result.attempts) / requests);
+}
+
 template <typename Policy>
 void RunAll(std::string_view filter, const char* name, bool has_ejection) {
   if (std::string_view(name).find(filter) == std::string_view::npos) return;
@@ -117,6 +129,7 @@
   RunLongWork(variant);
   RunDrain(variant);
   RunFailures(variant);
+  RunFailingWorker(variant);
 }
 
 }  // namespace
--- a/bench/pool_model.h
+++ b/bench/pool_model.h
@@ -29,6 +29,8 @@
   /// A long request in flight slows the worker's short requests by this share.
   double interference = 0.02;
   double failure_share = 0;
+  /// Workers with this number and above fail each attempt after 1 ms, from `slow_from_seconds`.
+  std::uint32_t first_failing = 12;
   /// Worker 0 is marked as leaving at this time.
   double drain_at_seconds = 0;
   double seconds = 120;
@@ -43,6 +45,8 @@
   std::uint64_t requests = 0;
   std::uint64_t attempts = 0;
   std::uint64_t refused = 0;
+  /// Requests whose last attempt failed.
+  std::uint64_t failed = 0;
   /// Short requests that a slow worker has served.
   std::uint64_t at_slow = 0;
   /// From the leaving mark to the end of the last request at the worker, and the longest request
@@ -108,6 +112,7 @@
   static constexpr double kShortMean = 0.010;
   static constexpr double kLongMean = 0.500;
   static constexpr double kSigma = 0.5;
+  static constexpr double kFailureSeconds = 0.001;
   static constexpr double kTickSeconds = 0.1;
   static constexpr double kShortDeadline = 10;
   static constexpr double kLongDeadline = 60;
@@ -231,6 +236,12 @@
         running.worker >= settings_.first_slow && now_ >= settings_.slow_from_seconds;
     double service = ServiceTime(is_short ? kShortMean : kLongMean);
     if (is_slow) service *= settings_.slow_factor;
+    const bool is_failing =
+        running.worker >= settings_.first_failing && now_ >= settings_.slow_from_seconds;
+    if (is_failing) {
+      running.fails = true;
+      service = kFailureSeconds;
+    }
     if (is_short) service *= 1 + settings_.interference * long_in_flight_[running.worker];
     if (is_short && is_slow) ++result_.at_slow;
     if (!is_short) ++long_in_flight_[running.worker];
@@ -258,6 +269,7 @@
       Admit(id);
     } else {
       if (is_short && IsMeasured(running.arrival)) {
+        if (running.fails) ++result_.failed;
         result_.latencies.push_back(now_ - running.arrival);
       }
       running_.erase(id);
--- a/src/admission/tests/gate_queue_test.cc
+++ b/src/admission/tests/gate_queue_test.cc
@@ -105,6 +105,7 @@
   TestGate gate = MakeGate(1, 0);
   const std::array regions = {RegionPreference{{0}, 5}, RegionPreference{{1}, 0}};
   std::vector<Slot> slots;
+  slots.reserve(3);
   for (int i = 0; i < 3; ++i) {
     slots.push_back(std::get<Admitted>(Admit(gate, WorkClass::kShort, 0, 1000, regions)).slot);
   }
