--- a/src/http/internal/listener.cc
+++ b/src/http/internal/listener.cc
@@ -213,9 +213,9 @@
     server_->minThreads(settings.threads < 4 ? settings.threads : 4);
     server_->maxThreads(settings.threads);
     // The reaper does the work of these timers; see there for the reason.
-    server_->readTimeout(kNeverMs);
-    server_->writeTimeout(kNeverMs);
-    server_->keepAliveTimeout(kNeverMs);
+    server_->readTimeout(never_ms_);
+    server_->writeTimeout(never_ms_);
+    server_->keepAliveTimeout(never_ms_);
     server_->addService(cxxtools::Regex(".*"), service_);
     Listen(settings);
     reaper_ = std::make_unique<ConnectionReaper>(port_, settings.timeouts);
@@ -273,7 +273,7 @@
   }
 
   static constexpr std::chrono::hours kNever{24};
-  const cxxtools::Milliseconds kNeverMs{
+  const cxxtools::Milliseconds never_ms_{
       static_cast<double>(std::chrono::milliseconds(kNever).count())};
 
   cxxtools::EventLoop loop_;
--- a/src/http/tests/client_test.cc
+++ b/src/http/tests/client_test.cc
@@ -205,8 +205,10 @@
   Client client;
   ExecuteOptions options;
   options.connect_deadline = In(kShortMs);
+  const base::Instant end_of_call = In(kLongMs);
   const auto outcome = Call(client, port, Post(), kLongMs, options);
   close(fd);
+  CHECK(Now() < end_of_call);
   CHECK(outcome.failure == Failure::kConnectTimeout);
   CHECK_FALSE(outcome.bytes_written);
 }
