Cap work of callers from other regions, pace links, hold zone limits, and mend refusals of repeats

Causes found by reading: a region's own hosts served callers of a lost region without any cap; a zone's limit was checked in the table and enforced nowhere; a repeat with a ticket could be told not-run by a host that had not asked the issuer. The cap on moved work has two fixed halves (hosts of other regions; callers of other regions), links are split over the hosts named in the settings.

--- a/src/app/internal/admin_commands.cc
+++ b/src/app/internal/admin_commands.cc
@@ -39,10 +39,10 @@
 }
 
 const Value::Array& ArrayOf(const Value& object, std::string_view field) {
-  static const Value::Array kEmpty;
+  static const Value::Array empty;
   const Value* value = object.Find(field);
   const auto* array = value == nullptr ? nullptr : std::get_if<Value::Array>(&value->data());
-  return array == nullptr ? kEmpty : *array;
+  return array == nullptr ? empty : *array;
 }
 
 /// Prints an array of objects as columns, under the names of their fields.
@@ -51,6 +51,7 @@
   TextTable text(fields);
   for (const Value& it : array) {
     std::vector<std::string> row;
+    row.reserve(fields.size());
     for (const std::string& field : fields) row.push_back(TextOf(it, field));
     text.AddRow(std::move(row));
   }
--- a/src/app/internal/entry_host.cc
+++ b/src/app/internal/entry_host.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <thread>
@@ -50,6 +51,13 @@
   return seeds;
 }
 
+/// Hosts that the settings name in this host's region, itself included.
+std::uint32_t HostsInRegion(const settings::HostSettings& settings) {
+  const auto n = std::count_if(settings.seeds.begin(), settings.seeds.end(),
+                               [&](const auto& it) { return it.region == settings.region; });
+  return static_cast<std::uint32_t>(n) + 1;
+}
+
 http::ServerLimits LimitsOf(const settings::HostSettings& settings) {
   http::ServerLimits limits;
   limits.threads = static_cast<unsigned>(settings.limits.traffic_threads);
@@ -74,6 +82,7 @@
   explicit Impl(const settings::HostSettings& settings)
       : self_(SelfOf(settings)),
         store_(http::Endpoint::Parse(settings.store)),
+        gates_(settings.region),
         exposer_(registry_, settings.listen.metrics),
         tickets_(self_.ref.host, self_.ref.incarnation, TicketLimitsOf(settings)),
         control_({.controller = {self_, SeedsOf(settings)},
@@ -81,7 +90,8 @@
                   .host_list = settings.host_list,
                   .host_list_path = settings.host_list_path},
                  store_, gates_, snapshots_, control_counters_),
-        dispatcher_(gates_, counters_,
+        links_(settings.region, HostsInRegion(settings)),
+        dispatcher_(settings.region, gates_, links_, counters_,
                     {.on_wait = [this] { control_.OnWait(); },
                      .on_draining = [this](base::TargetKey it) { control_.OnDraining(it); }}),
         callers_api_({self_.ref, self_.region, self_.zone}, snapshots_, dispatcher_, tickets_,
@@ -130,6 +140,7 @@
   control::ControlCounters control_counters_{registry_};
   traffic::TicketDesk tickets_;
   control::ControlThread<store::HttpStore, traffic::GateSet> control_;
+  traffic::LinkBudgets links_;
   traffic::Dispatcher dispatcher_;
   traffic::CallerApi callers_api_;
   traffic::AdminApi admin_api_;
--- a/src/control/internal/controller.cc
+++ b/src/control/internal/controller.cc
@@ -421,8 +421,8 @@
       limits.push_back(
           {service.key,
            {.region_limit = it.weight == 0 ? 0 : it.limit,
-            .cap_percent = static_cast<double>(it.moved_in_cap_percent),
-            .ramp_points_per_minute = static_cast<double>(it.moved_in_ramp_percent_per_minute)}});
+            .cap_percent = kMovedHalf * it.moved_in_cap_percent,
+            .ramp_points_per_minute = kMovedHalf * it.moved_in_ramp_percent_per_minute}});
     }
   }
   ledger_.SetLongestDeadlines(longest);
--- a/src/control/internal/steering_table.cc
+++ b/src/control/internal/steering_table.cc
@@ -45,19 +45,39 @@
   return blocks;
 }
 
+using TargetPointers = std::span<const table::Target* const>;
+
+/// Slots of each target, lowered one slot a target in turn until each zone is within its limit.
+std::vector<std::uint32_t> SlotsWithinZoneLimits(const table::Service& service,
+                                                 TargetPointers targets) {
+  std::vector<std::uint32_t> slots;
+  for (const auto* it : targets) slots.push_back(it->slots);
+  for (const table::ServiceZone& zone : service.zones) {
+    std::uint32_t all = 0;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      if (targets[i]->zone == zone.zone) all += slots[i];
+    }
+    for (std::size_t i = 0; all > zone.limit; i = (i + 1) % targets.size()) {
+      if (targets[i]->zone != zone.zone || slots[i] == 0) continue;
+      --slots[i];
+      --all;
+    }
+  }
+  return slots;
+}
+
 /// Spreads `percent` of the region's slots over its targets, one slot a target in turn.
-std::vector<std::uint16_t> LongSlots(std::span<const table::Target* const> targets,
-                                     std::uint32_t percent) {
+std::vector<std::uint16_t> LongSlots(std::span<const std::uint32_t> slots, std::uint32_t percent) {
   std::uint32_t all = 0;
-  for (const auto* it : targets) all += it->slots;
+  for (const std::uint32_t n : slots) all += n;
   std::uint32_t left = all * percent / 100;
   // A service that allows long work at all can run one at a time in each region.
   if (percent > 0 && left == 0 && all > 1) left = 1;
-  std::vector<std::uint16_t> out(targets.size(), 0);
+  std::vector<std::uint16_t> out(slots.size(), 0);
   while (left > 0) {
     const std::uint32_t before = left;
-    for (std::size_t i = 0; i < targets.size() && left > 0; ++i) {
-      if (out[i] >= targets[i]->slots) continue;
+    for (std::size_t i = 0; i < slots.size() && left > 0; ++i) {
+      if (out[i] >= slots[i]) continue;
       ++out[i];
       --left;
     }
@@ -87,7 +107,8 @@
     for (const table::Target& it : service.targets) {
       if (table_->RegionOf(it.zone) == region) targets.push_back(&it);
     }
-    const auto long_slots = LongSlots(targets, service.long_slot_percent);
+    const auto slots = SlotsWithinZoneLimits(service, targets);
+    const auto long_slots = LongSlots(slots, service.long_slot_percent);
     for (std::size_t i = 0; i < targets.size(); ++i) {
       const table::Target& target = *targets[i];
       places_[target.key.value] = {
@@ -95,7 +116,7 @@
           .region = region,
           .zone = target.zone,
           .address = target.address,
-          .short_slots = static_cast<std::uint16_t>(target.slots - long_slots[i]),
+          .short_slots = static_cast<std::uint16_t>(slots[i] - long_slots[i]),
           .long_slots = long_slots[i]};
       target_keys_.push_back(target.key);
       const std::uint32_t weight = target.weight * ZoneWeight(service, target.zone);
@@ -115,7 +136,7 @@
     const base::RegionIndex home{h};
     const std::uint32_t home_weight = RegionWeight(service, home);
     const std::uint32_t kept = highest == 0 ? 0 : kFullWeight * home_weight / highest;
-    std::uint64_t others = 0;
+    std::uint32_t others = 0;
     for (const auto& it : service.regions) others += it.region == home ? 0 : it.weight;
     std::vector<admission::RegionPreference> list;
     for (const auto& it : service.regions) {
--- a/src/control/steering_table.h
+++ b/src/control/steering_table.h
@@ -29,6 +29,11 @@
   std::uint16_t long_slots = 0;
 };
 
+/// A region's cap on moved work has two fixed halves, so that their sum holds without a message:
+/// one for slots granted to hosts of other regions, one for callers of other regions that come to
+/// the region's own hosts.
+inline constexpr double kMovedHalf = 0.5;
+
 class SteeringTable {
  public:
   /// Takes a table that has passed its checks; `text` is what peers pull.
--- a/src/lookup/directory.h
+++ b/src/lookup/directory.h
@@ -1,6 +1,7 @@
 // Ranks entry hosts for a caller. Built once per snapshot; a look-up reads it without allocation.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -69,9 +70,9 @@
   std::vector<std::uint32_t> hosts_;
   std::vector<std::uint64_t> shares_;
   /// Sorted by region, then zone.
-  std::vector<Group> groups_[kTiers];
+  std::array<std::vector<Group>, kTiers> groups_;
   /// Start of each region's groups, with an end mark.
-  std::vector<std::uint32_t> regions_[kTiers];
+  std::array<std::vector<std::uint32_t>, kTiers> regions_;
 };
 
 }  // namespace mangonotch::lookup
--- a/src/traffic/dispatcher.h
+++ b/src/traffic/dispatcher.h
@@ -14,6 +14,7 @@
 #include "retry/budget.h"
 #include "traffic/counters.h"
 #include "traffic/gate_set.h"
+#include "traffic/link_budgets.h"
 #include "traffic/request_plan.h"
 #include "traffic/served.h"
 
@@ -35,7 +36,9 @@
 
 class Dispatcher {
  public:
-  Dispatcher(GateSet& gates, Counters& counters, ControlHooks hooks);
+  /// `region` is this host's own.
+  Dispatcher(std::string region, GateSet& gates, LinkBudgets& links, Counters& counters,
+             ControlHooks hooks);
 
   Served Run(const control::SteeringTable& table, const RequestPlan& plan,
              const http::Request& request, const TicketHooks& ticket);
@@ -47,17 +50,23 @@
   struct Attempt;
 
   Served RunAttempts(const control::SteeringTable& table, const RequestPlan& plan,
-                     const http::Request& request, const TicketHooks& ticket, ServiceGate& gate);
+                     const http::Request& request, const TicketHooks& ticket, ServiceGate& gate,
+                     std::span<const admission::RegionPreference> regions);
   Attempt Send(const control::SteeringTable& table, const RequestPlan& plan,
                const http::Request& request, const TicketHooks& ticket, ServiceGate& gate,
                const admission::Admitted& admitted);
   void Judge(const RequestPlan& plan, const std::string& request_id, Attempt& attempt);
+  AcquireResult Acquire(const RequestPlan& plan, const http::Request& request, ServiceGate& gate,
+                        std::span<const admission::RegionPreference> regions,
+                        std::span<const base::TargetKey> excluded);
   bool MayRetry(base::ServiceIndex service, base::Instant now);
   void CountRequest(base::ServiceIndex service, base::Instant now);
   retry::Budget& BudgetOf(base::ServiceIndex service, base::Instant now);
   std::string NextRequestId();
 
+  const std::string region_;
   GateSet& gates_;
+  LinkBudgets& links_;
   Counters& counters_;
   ControlHooks hooks_;
   http::Client client_;
--- a/src/traffic/gate_set.h
+++ b/src/traffic/gate_set.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <span>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -16,6 +17,9 @@
 
 class GateSet {
  public:
+  /// `region` is this host's own.
+  explicit GateSet(std::string region) : region_(std::move(region)) {}
+
   /// Null for a service that no table revision has named yet.
   std::shared_ptr<ServiceGate> Find(base::ServiceKey service) const;
 
@@ -31,6 +35,8 @@
  private:
   std::vector<std::shared_ptr<ServiceGate>> All() const;
 
+  const std::string region_;
+
   mutable std::mutex mutex_;
   /// By service key; guarded by mutex_. A gate stays when its service leaves the table, as requests
   /// may be in flight.
--- a/src/traffic/internal/admin_api.cc
+++ b/src/traffic/internal/admin_api.cc
@@ -62,8 +62,9 @@
   Value::Object out;
   for (std::size_t i = 0; i < kRefusalReasons; ++i) {
     const auto reason = static_cast<RefusalReason>(i);
-    if (const auto n = Count(counters.refusals.Value(reason)))
+    if (const auto n = Count(counters.refusals.Value(reason))) {
       out.push_back(Field(Name(reason), Number(n)));
+    }
   }
   return Value(std::move(out));
 }
@@ -72,8 +73,9 @@
   Value::Object out;
   for (std::size_t i = 0; i < kRetryReasons; ++i) {
     const auto reason = static_cast<RetryReason>(i);
-    if (const auto n = Count(counters.retries.Value(reason)))
+    if (const auto n = Count(counters.retries.Value(reason))) {
       out.push_back(Field(Name(reason), Number(n)));
+    }
   }
   return Value(std::move(out));
 }
--- a/src/traffic/internal/caller_api.cc
+++ b/src/traffic/internal/caller_api.cc
@@ -38,6 +38,12 @@
   return it == snapshot.hosts.end() ? nullptr : &*it;
 }
 
+/// Outcome of a refusal before the ticket was looked at. A request with a ticket may be a repeat
+/// whose first copy has run at its issuer, so only its register can say that it did not.
+Outcome BeforeTicket(const http::Request& request) {
+  return request.Header(kTicketHeader) ? Outcome::kUnknown : Outcome::kNotRun;
+}
+
 /// What a caller is told about a ticket that gives no run and no answer.
 Served RefuseTicket(ticket::BeginVerdict verdict) {
   using ticket::BeginVerdict;
@@ -75,7 +81,7 @@
 
 http::Response CallerApi::Handle(const http::Request& request, bool is_forwarded) {
   const control::SnapshotPtr snapshot = snapshots_.Load();
-  if (!snapshot->table) return Refuse(Outcome::kNotRun, RefusalReason::kNoTable, 503);
+  if (!snapshot->table) return Refuse(BeforeTicket(request), RefusalReason::kNoTable, 503);
   if (request.path == "/v1/lookup") return Lookup(*snapshot, request);
   if (request.path == "/v1/ticket") return IssueTicket(*snapshot, request);
   if (request.path == "/v1/ticket/void") return VoidTicket(*snapshot, request, is_forwarded);
@@ -160,7 +166,10 @@
   counters_.requests.Add();
   const control::SteeringTable& table = *snapshot.table;
   auto planned = PlanRequest(table, request, FallbackOf(table), http::Now());
-  if (auto* refusal = std::get_if<Served>(&planned)) return ToResponse(std::move(*refusal));
+  if (auto* refusal = std::get_if<Served>(&planned)) {
+    refusal->outcome = BeforeTicket(request);
+    return ToResponse(std::move(*refusal));
+  }
   const RequestPlan& plan = std::get<RequestPlan>(planned);
   if (plan.is_idempotent) return ToResponse(dispatcher_.Run(table, plan, request, {}));
 
@@ -205,7 +214,14 @@
   const TicketHooks hooks{.mark_dispatched = [&](base::Instant deadline) {
     return tickets_.MarkDispatched(run, deadline);
   }};
-  Served served = dispatcher_.Run(table, plan, request, hooks);
+  Served served;
+  try {
+    served = dispatcher_.Run(table, plan, request, hooks);
+  } catch (...) {
+    // The run must end, or repeats of the request would wait for it.
+    tickets_.Finish(run, Served{});
+    throw;
+  }
   if (served.outcome != Outcome::kNotRun) {
     tickets_.Finish(run, served);
   } else if (!tickets_.FinishNotRun(run)) {
--- a/src/traffic/internal/dispatcher.cc
+++ b/src/traffic/internal/dispatcher.cc
@@ -17,6 +17,25 @@
 constexpr base::Duration kConnectTimeout = base::Duration::Milliseconds(500);
 constexpr std::size_t kMaxAttempts = 3;
 constexpr unsigned kShedStatus = 503;
+/// The ramp of moved work grows by points a minute, so an earlier repeat would meet the same cap.
+constexpr base::Duration kMoveRetry = base::Duration::Seconds(5);
+/// Longest time that a request holds its slot while the link to the target's region has no bytes
+/// left.
+constexpr base::Duration kLinkWait = base::Duration::Milliseconds(200);
+
+/// Gives a place of moved work back; does nothing for null.
+class ReleaseOnExit {
+ public:
+  explicit ReleaseOnExit(ServiceGate* gate) : gate_(gate) {}
+  ReleaseOnExit(const ReleaseOnExit&) = delete;
+  ReleaseOnExit& operator=(const ReleaseOnExit&) = delete;
+  ~ReleaseOnExit() {
+    if (gate_ != nullptr) gate_->ReleaseMoved();
+  }
+
+ private:
+  ServiceGate* gate_;
+};
 
 constexpr std::array<std::string_view, 6> kOwnHeaders = {"Host",           "Deadline-Ms",
                                                          "Request-Id",     "Idempotency-Ticket",
@@ -35,8 +54,7 @@
 std::string Hex(std::uint64_t value) {
   static constexpr char kDigits[] = "0123456789abcdef";
   std::string text(16, '0');
-  for (int i = 15; i >= 0; --i, value >>= 4)
-    text[static_cast<std::size_t>(i)] = kDigits[value & 15];
+  for (std::size_t i = text.size(); i > 0; --i, value >>= 4) text[i - 1] = kDigits[value & 15];
   return text;
 }
 
@@ -67,8 +85,14 @@
   base::TargetKey target;
 };
 
-Dispatcher::Dispatcher(GateSet& gates, Counters& counters, ControlHooks hooks)
-    : gates_(gates), counters_(counters), hooks_(std::move(hooks)), id_prefix_(RandomPrefix()) {}
+Dispatcher::Dispatcher(std::string region, GateSet& gates, LinkBudgets& links, Counters& counters,
+                       ControlHooks hooks)
+    : region_(std::move(region)),
+      gates_(gates),
+      links_(links),
+      counters_(counters),
+      hooks_(std::move(hooks)),
+      id_prefix_(RandomPrefix()) {}
 
 std::string Dispatcher::NextRequestId() {
   return Hex(id_prefix_) + "-" + std::to_string(next_id_.fetch_add(1, std::memory_order_relaxed));
@@ -93,22 +117,42 @@
   const auto gate = gates_.Find(table.ServiceAt(plan.service).key);
   if (!gate) return Served::Refused(Outcome::kNotRun, RefusalReason::kNoTable, 503);
   CountRequest(plan.service, http::Now());
-  return RunAttempts(table, plan, request, ticket, *gate);
+  const auto own = table.FindRegion(region_);
+  const auto regions = table.PreferencesOf(plan.service, plan.home);
+  if (!own || plan.home == *own) return RunAttempts(table, plan, request, ticket, *gate, regions);
+
+  // Work of a caller from another region uses this region only within the cap on moved work.
+  const bool is_reserved = gate->TryReserveMoved();
+  std::vector<admission::RegionPreference> allowed(regions.begin(), regions.end());
+  if (!is_reserved) std::erase_if(allowed, [&](const auto& it) { return it.region == *own; });
+  const ReleaseOnExit release(is_reserved ? gate.get() : nullptr);
+  if (allowed.empty()) {
+    return Served::Refused(Outcome::kNotRun, RefusalReason::kMoveCap, 503, kMoveRetry);
+  }
+  return RunAttempts(table, plan, request, ticket, *gate, allowed);
+}
+
+AcquireResult Dispatcher::Acquire(const RequestPlan& plan, const http::Request& request,
+                                  ServiceGate& gate,
+                                  std::span<const admission::RegionPreference> regions,
+                                  std::span<const base::TargetKey> excluded) {
+  const admission::Request wanted{.work_class = plan.work_class,
+                                  .deadline = plan.deadline,
+                                  .regions = regions,
+                                  .excluded = excluded};
+  return gate.Acquire(
+      wanted, [&] { return request.CallerGone(); }, hooks_.on_wait);
 }
 
 Served Dispatcher::RunAttempts(const control::SteeringTable& table, const RequestPlan& plan,
                                const http::Request& request, const TicketHooks& ticket,
-                               ServiceGate& gate) {
+                               ServiceGate& gate,
+                               std::span<const admission::RegionPreference> regions) {
   std::vector<base::TargetKey> excluded;
   const bool is_ticketed = static_cast<bool>(ticket.mark_dispatched);
   Outcome worst = Outcome::kNotRun;
   for (;;) {
-    const admission::Request wanted{.work_class = plan.work_class,
-                                    .deadline = plan.deadline,
-                                    .regions = table.PreferencesOf(plan.service, plan.home),
-                                    .excluded = excluded};
-    const AcquireResult acquired = gate.Acquire(
-        wanted, [&] { return request.CallerGone(); }, hooks_.on_wait);
+    const AcquireResult acquired = Acquire(plan, request, gate, regions, excluded);
     if (std::holds_alternative<CallerGone>(acquired)) {
       return Served::Refused(worst, RefusalReason::kCallerGone, 503);
     }
@@ -164,6 +208,9 @@
   counters_.attempts.Add();
   try {
     if (place == nullptr) throw http::ClientError(http::Failure::kVetoed, false, "", "target gone");
+    if (!links_.WaitToSend(table, place->region, request.body.size(), started + kLinkWait)) {
+      throw http::ClientError(http::Failure::kVetoed, false, place->address, "link budget used up");
+    }
     attempt.response = client_.Execute(http::Endpoint::Parse(place->address),
                                        {.method = request.method,
                                         .target = plan.target_path,
@@ -172,6 +219,7 @@
                                        plan.deadline, options);
     attempt.bytes_written = true;
     attempt.result = admission::Result::kAnswered;
+    links_.CountAnswer(table, place->region, attempt.response->body.size());
     Judge(plan, request_id, attempt);
   } catch (const http::ClientError& ex) {
     attempt.bytes_written = ex.bytes_written();
--- a/src/traffic/internal/gate_set.cc
+++ b/src/traffic/internal/gate_set.cc
@@ -47,9 +47,9 @@
                                                 .slots = it.slots,
                                                 .deadline = it.deadline});
   }
-  for (const auto& [service, list] : by_service) {
-    const auto gate = Find(table.ServiceAt(base::ServiceIndex{service}).key);
-    if (gate) gate->Update([&](auto& it, base::Instant now) { it.SetGrants(list, now); });
+  for (const auto& entry : by_service) {
+    const auto gate = Find(table.ServiceAt(base::ServiceIndex{entry.first}).key);
+    if (gate) gate->Update([&](auto& it, base::Instant now) { it.SetGrants(entry.second, now); });
   }
 }
 
@@ -81,14 +81,17 @@
   control::GateUsage usage;
   std::uint64_t held = 0;
   std::uint64_t free_slots = 0;
+  const auto own_region = table.FindRegion(region_);
   for (const table::Service& service : table.table().services) {
     const auto gate = Find(service.key);
     if (!gate) continue;
+    std::uint32_t held_here = 0;
     gate->Update([&](auto& it, base::Instant now) {
       for (const admission::SlotUsage& slots : it.Usage(now)) {
         if (slots.in_use > 0) {
           usage.in_use.push_back({slots.target, slots.work_class, slots.in_use});
         }
+        if (slots.region == own_region) held_here += slots.held;
         if (slots.work_class != base::WorkClass::kShort) continue;
         held += slots.held;
         free_slots += slots.held - slots.in_use;
@@ -105,6 +108,14 @@
         }
       }
     });
+    for (const auto& region : service.regions) {
+      if (region.region != own_region) continue;
+      // The shares of all hosts add up to the region's, as their slots do to its limit.
+      gate->SetMoveLimits({.region_limit = held_here,
+                           .cap_percent = control::kMovedHalf * region.moved_in_cap_percent,
+                           .ramp_points_per_minute =
+                               control::kMovedHalf * region.moved_in_ramp_percent_per_minute});
+    }
   }
   usage.room_per_mille = held == 0 ? 0 : static_cast<std::uint16_t>(free_slots * 1000 / held);
   return usage;
--- a/src/traffic/internal/refusal_reason.cc
+++ b/src/traffic/internal/refusal_reason.cc
@@ -12,7 +12,7 @@
       "ticket-required", "ticket-malformed",  "ticket-void",      "ticket-expired",
       "ticket-mismatch", "ticket-not-issued", "ticket-forgotten", "ticket-issuer-gone",
       "tickets-full",    "answer-not-kept",   "outcome-unknown",  "targets-failed",
-      "retry-budget",    "mismatched-answer", "leaving"};
+      "retry-budget",    "mismatched-answer", "leaving",          "move-cap"};
   return kNames[static_cast<std::size_t>(reason)];
 }
 
--- a/src/traffic/internal/service_gate.cc
+++ b/src/traffic/internal/service_gate.cc
@@ -48,6 +48,23 @@
   return Widen(*waiter.result);
 }
 
+bool ServiceGate::TryReserveMoved() {
+  const std::lock_guard lock(mutex_);
+  if (moved_in_flight_ >= moved_.Allowed(moved_in_flight_, Now())) return false;
+  ++moved_in_flight_;
+  return true;
+}
+
+void ServiceGate::ReleaseMoved() {
+  const std::lock_guard lock(mutex_);
+  --moved_in_flight_;
+}
+
+void ServiceGate::SetMoveLimits(const shift::MoveLimits& limits) {
+  const std::lock_guard lock(mutex_);
+  moved_.SetLimits(limits, Now());
+}
+
 void ServiceGate::Complete(admission::Slot slot, const admission::Outcome& outcome) {
   const std::lock_guard lock(mutex_);
   const base::Instant now = Now();
--- a/src/traffic/refusal_reason.h
+++ b/src/traffic/refusal_reason.h
@@ -31,8 +31,9 @@
   kRetryBudget,       // A repeat would have been safe, but the retry budget was used up.
   kMismatchedAnswer,  // The answer carries the identifier of another request.
   kLeaving,           // This host is stopping.
+  kMoveCap,           // The cap on work moved between regions is reached.
 };
-inline constexpr std::size_t kRefusalReasons = 23;
+inline constexpr std::size_t kRefusalReasons = 24;
 
 /// Label for counters and the header Mangonotch-Reason, such as "no-table".
 std::string_view Name(RefusalReason reason);
--- a/src/traffic/service_gate.h
+++ b/src/traffic/service_gate.h
@@ -11,6 +11,7 @@
 #include "admission/gate.h"
 #include "base/instant.h"
 #include "placement/weighted_two_choices.h"
+#include "shift/move_cap.h"
 
 namespace mangonotch::traffic {
 
@@ -29,6 +30,12 @@
   AcquireResult Acquire(const admission::Request& request,
                         const std::function<bool()>& is_caller_gone,
                         const std::function<void()>& on_wait);
+  /// Takes a place of the work that this host may serve in its own region for callers of other
+  /// regions; false when there is none. Every place taken must be released.
+  bool TryReserveMoved();
+  void ReleaseMoved();
+  void SetMoveLimits(const shift::MoveLimits& limits);
+
   void Complete(admission::Slot slot, const admission::Outcome& outcome);
   admission::RecheckResult Recheck(admission::Slot slot);
 
@@ -60,6 +67,8 @@
   std::mutex mutex_;
   // All below are guarded by mutex_.
   Gate gate_;
+  shift::MoveCap moved_;
+  std::uint32_t moved_in_flight_ = 0;
   /// Threads that wait, by the gate's identifier; each entry lives on its thread's stack.
   std::unordered_map<admission::WaiterId, Waiter*> waiters_;
 };
