--- a/standins/target/target_pages.cc
+++ b/standins/target/target_pages.cc
@@ -34,9 +34,10 @@
 http::Response TargetService::Runs(const http::Request& request) {
   const auto least = static_cast<std::uint64_t>(IntegerParameter(request, "min").value_or(1));
   const auto id = request.Parameter("id");
+  const bool is_by_path = request.Parameter("by") == "path";
   const std::lock_guard lock(mutex_);
   nlohmann::json runs = nlohmann::json::object();
-  for (const auto& [name, n] : runs_) {
+  for (const auto& [name, n] : is_by_path ? runs_of_path_ : runs_) {
     if (n >= least && (!id || *id == name)) {
       runs[name] = n;
     }
--- a/standins/target/target_service.cc
+++ b/standins/target/target_service.cc
@@ -95,6 +95,7 @@
   counters_.peak_in_flight = std::max(counters_.peak_in_flight, counters_.in_flight);
   NoteLoad();
   ++runs_[std::string(request.Header("Request-Id").value_or(""))];
+  ++runs_of_path_[std::string(request.path)];
   return job;
 }
 
--- a/standins/target/target_service.h
+++ b/standins/target/target_service.h
@@ -58,6 +58,7 @@
   TargetFaults faults_;
   TargetCounters counters_;
   std::map<std::string, std::uint64_t, std::less<>> runs_;  // Request-Id to starts of its work.
+  std::map<std::string, std::uint64_t, std::less<>> runs_of_path_;  // Starts of its work.
   std::map<base::Instant, unsigned> load_history_;  // In flight since then, for load_lag_ms.
   std::int64_t cold_left_;
   base::Instant drain_since_;
--- a/standins/tests/target_test.cc
+++ b/standins/tests/target_test.cc
@@ -80,6 +80,7 @@
   target.Ask("/fault?fail=1");
   CHECK(target.Ask("/a", id).status == 500);
   CHECK(target.Page("/runs?min=2") == nlohmann::json{{"r1", 2}});
+  CHECK(target.Page("/runs?by=path") == nlohmann::json{{"/a", 2}});
 }
 
 TEST_CASE("Spoilt answers are spoilt as told, as often as told") {
--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdlib>
@@ -82,6 +83,8 @@
   if (std::getenv("MANGONOTCH_KEEP_LOGS") == nullptr) std::filesystem::remove_all(folder_, ec);
 }
 
+std::string Deployment::Binary() { return MANGONOTCH_BINARY; }
+
 std::unique_ptr<Process> Deployment::Start(const std::string& name, std::vector<std::string> argv) {
   return std::make_unique<Process>(argv, FilePath(name + ".log"));
 }
@@ -126,20 +129,23 @@
     }
   }
   for (std::size_t i = 0; i < hosts.size(); ++i) {
-    WriteSettings(hosts[i], ports[i][0], ports[i][1], ports[i][2], seeds);
+    const auto& cut = spec_.hosts_without_store;
+    const bool is_cut = std::find(cut.begin(), cut.end(), i) != cut.end();
+    WriteSettings(hosts[i], ports[i][0], ports[i][1], ports[i][2], seeds,
+                  is_cut ? FreeAddress() : store_address);
   }
 }
 
 void Deployment::WriteSettings(const HostProcess& host, const std::string& peers,
                                const std::string& peer_http, const std::string& metrics,
-                               const std::string& seeds) {
+                               const std::string& seeds, const std::string& store_of_host) {
   std::ofstream out(host.settings_file);
   out << "{\n  \"host\": " << Quoted(host.name) << ", \"region\": " << Quoted(host.region)
       << ", \"zone\": " << Quoted(host.zone)
       << ",\n  \"listen\": {\"callers\": " << Quoted(host.callers)
       << ", \"peers\": " << Quoted(peers) << ", \"peer_http\": " << Quoted(peer_http)
       << ", \"metrics\": " << Quoted(metrics) << ", \"admin\": " << Quoted(host.admin)
-      << "},\n  \"seeds\": [" << seeds << "],\n  \"store\": " << Quoted(store_address)
+      << "},\n  \"seeds\": [" << seeds << "],\n  \"store\": " << Quoted(store_of_host)
       << ",\n  \"host_list\": {\"address\": " << Quoted(host_list_address)
       << ", \"path\": \"/hosts\"},\n  \"limits\": {\"traffic_threads\": 64}\n}\n";
 }
@@ -222,7 +228,7 @@
 
 void Deployment::StartHost(std::size_t host) {
   HostProcess& it = hosts[host];
-  it.process = Start(it.name, {MANGONOTCH_BINARY, "serve", it.settings_file});
+  it.process = Start(it.name, {Binary(), "serve", it.settings_file});
   it.process->WaitForLine("serving ");
 }
 
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -30,6 +30,8 @@
   int moved_in_cap_percent = 50;
   int moved_in_ramp_percent_per_minute = 100;
   int lookup_ttl_ms = 1000;
+  /// Hosts whose settings name a store address on which nothing listens.
+  std::vector<std::size_t> hosts_without_store = {};
 };
 
 struct HostProcess {
@@ -72,6 +74,12 @@
                       base::Duration time);
 
   std::string TableText(int revision) const;
+  /// A file of this deployment, removed with it.
+  std::string FilePath(const std::string& name) const { return folder_ + "/" + name; }
+  /// Starts a process whose output goes to `name`.log.
+  std::unique_ptr<Process> Start(const std::string& name, std::vector<std::string> argv);
+  /// The program `mangonotch`.
+  static std::string Binary();
   const DeploymentSpec& spec() const { return spec_; }
 
   std::vector<HostProcess> hosts;
@@ -82,14 +90,12 @@
   std::unique_ptr<Process> host_list;
 
  private:
-  std::string FilePath(const std::string& name) const { return folder_ + "/" + name; }
-  std::unique_ptr<Process> Start(const std::string& name, std::vector<std::string> argv);
   std::string ZoneEntries(int room) const;
   void StartTargets();
   void PlanHosts();
   void WriteSettings(const HostProcess& host, const std::string& peers,
                      const std::string& peer_http, const std::string& metrics,
-                     const std::string& seeds);
+                     const std::string& seeds, const std::string& store_of_host);
 
   DeploymentSpec spec_;
   std::string folder_;
