--- a/bench/measure/control.cc
+++ b/bench/measure/control.cc
@@ -170,6 +170,33 @@
               {base, MeasureCost(1, 3, {.blocks = 1000}), MeasureCost(1, 3, {.blocks = 10000})});
 }
 
+/// Heartbeats and replies name every line of targets and classes that a host holds. This shows from
+/// how many targets in one region on they no longer fit in a datagram.
+void MeasureDatagrams() {
+  for (const int targets : {12, 36, 48, 60, 120}) {
+    support::Deployment deployment(support::DeploymentSpec{});
+    deployment.WaitUntilReady();
+    PutTable(deployment, EnlargedTable(deployment, 2, {.targets = targets}));
+    WaitInForce(deployment, 2);
+    std::this_thread::sleep_for(kSettleTime * 4);
+    std::printf("%3d targets in one region, 3 hosts:", targets);
+    for (const support::HostProcess& host : deployment.hosts) {
+      const auto status = nlohmann::json::parse(deployment.Get(host.admin, "/status").body);
+      const auto explain = nlohmann::json::parse(
+          deployment.Get(host.admin, "/explain?service=status&region=north&class=short").body);
+      int held = 0;
+      for (const auto& it : explain.value("targets", nlohmann::json::array())) {
+        held += it["held"].get<int>();
+      }
+      std::printf(" %s%d slots held, %d messages not sent;",
+                  status["coordinator"].get<bool>() ? "coordinator " : "", held,
+                  status["control"]["messages_malformed"].get<int>());
+    }
+    std::printf("\n");
+    std::fflush(stdout);
+  }
+}
+
 void MeasureEdits() {
   for (const int hosts : {3, 6, 9}) {
     support::Deployment deployment({.hosts_per_region = hosts});
--- a/bench/measure/main.cc
+++ b/bench/measure/main.cc
@@ -14,12 +14,13 @@
   void (*run)();
 };
 
-constexpr std::array<Measurement, 8> kMeasurements = {{{"throughput", MeasureThroughput},
+constexpr std::array<Measurement, 9> kMeasurements = {{{"throughput", MeasureThroughput},
                                                        {"slowed-workers", MeasureSlowedWorkers},
                                                        {"long-work", MeasureLongWork},
                                                        {"target-drain", MeasureTargetDrain},
                                                        {"host-drain", MeasureHostDrain},
                                                        {"control-cost", MeasureControlCost},
+                                                       {"datagrams", MeasureDatagrams},
                                                        {"edits", MeasureEdits},
                                                        {"lookups", MeasureLookups}}};
 
--- a/bench/measure/measurements.h
+++ b/bench/measure/measurements.h
@@ -9,6 +9,7 @@
 void MeasureTargetDrain();
 void MeasureHostDrain();
 void MeasureControlCost();
+void MeasureDatagrams();
 void MeasureEdits();
 void MeasureLookups();
 
--- a/bench/measure/traffic.cc
+++ b/bench/measure/traffic.cc
@@ -63,11 +63,11 @@
 
 void MeasureThroughput() {
   for (const int service_ms : {0, 5}) {
+    // 24 of the 32 slots are for short work.
     support::Deployment deployment(
         {.zones_per_region = 1,
          .hosts_per_region = 1,
-         .services = {
-             {.name = "status", .slots = 32, .long_slot_percent = 0, .short_ms = service_ms}}});
+         .services = {{.name = "status", .slots = 32, .short_ms = service_ms}}});
     deployment.WaitUntilReady();
     std::printf("service time %d ms, medians of %d rounds (least-greatest)\n", service_ms, kRounds);
     for (const unsigned threads : {1U, 8U, 24U}) CompareWithTarget(deployment, threads);
