--- a/bench/measure/drain.cc
+++ b/bench/measure/drain.cc
@@ -16,8 +16,9 @@
 namespace {
 
 constexpr int kRounds = 5;
-const support::DeploymentSpec kTwelveWorkers = {
-    .services = {{.name = "status", .targets_per_zone = 6, .slots = 4, .short_ms = 20}}};
+support::DeploymentSpec TwelveWorkers() {
+  return {.services = {{.name = "status", .targets_per_zone = 6, .slots = 4, .short_ms = 20}}};
+}
 
 std::vector<LoadPlan> MixedLoad(const std::vector<std::string>& addresses, int seconds) {
   const LoadPlan short_plan{.addresses = addresses,
@@ -56,7 +57,7 @@
 }  // namespace
 
 void MeasureTargetDrain() {
-  support::Deployment deployment(kTwelveWorkers);
+  support::Deployment deployment(TwelveWorkers());
   deployment.WaitUntilReady();
   std::vector<std::string> hosts;
   for (const auto& it : deployment.hosts) hosts.push_back(it.callers);
@@ -86,7 +87,7 @@
 void MeasureHostDrain() {
   std::vector<double> ended;
   for (int round = 0; round < kRounds; ++round) {
-    support::Deployment deployment(kTwelveWorkers);
+    support::Deployment deployment(TwelveWorkers());
     deployment.WaitUntilReady();
     // Callers keep their look-up for its whole time to live of 1 s after the stop begins.
     BackgroundLoad load(MixedLoad({deployment.hosts[1].callers}, 3));
--- a/bench/measure/traffic.cc
+++ b/bench/measure/traffic.cc
@@ -13,13 +13,15 @@
 constexpr int kRounds = 3;
 constexpr base::Duration kRunTime = base::Duration::Seconds(2);
 /// Twelve workers as both operators have them; 25% of the slots are for long work.
-const support::DeploymentSpec kTwelveWorkers = {
-    .services = {{.name = "status", .targets_per_zone = 6, .slots = 4, .short_ms = 20}}};
+support::DeploymentSpec TwelveWorkers() {
+  return {.services = {{.name = "status", .targets_per_zone = 6, .slots = 4, .short_ms = 20}}};
+}
+
 /// 36 slots for short work of 20 ms carry 1,800/s; this is a third of it.
 constexpr double kShortRate = 600;
 constexpr base::Duration kSlowRunTime = base::Duration::Seconds(8);
 /// Part of a run after which averages and ejections have settled.
-constexpr double kSettled_s = 4;
+constexpr double kSettledSeconds = 4;
 
 std::vector<std::string> CallerAddresses(const support::Deployment& deployment) {
   std::vector<std::string> out;
@@ -75,7 +77,7 @@
 }
 
 void MeasureSlowedWorkers() {
-  support::Deployment deployment(kTwelveWorkers);
+  support::Deployment deployment(TwelveWorkers());
   deployment.WaitUntilReady();
   std::vector<double> whole[3], settled[3];
   constexpr int kSlowed[] = {0, 1, 3};
@@ -89,7 +91,7 @@
                                          .rate = kShortRate,
                                          .time_limit = kSlowRunTime});
       whole[i].push_back(report.Percentile(99));
-      settled[i].push_back(report.Percentile(99, kSettled_s));
+      settled[i].push_back(report.Percentile(99, kSettledSeconds));
       std::printf("slowed %d: p50 %.1f p99 %.1f ms, after 4 s p99 %.1f ms; %s\n", kSlowed[i],
                   report.Percentile(50), whole[i].back(), settled[i].back(),
                   report.OutcomeText().c_str());
@@ -105,7 +107,7 @@
 }
 
 void MeasureLongWork() {
-  support::Deployment deployment(kTwelveWorkers);
+  support::Deployment deployment(TwelveWorkers());
   deployment.WaitUntilReady();
   const LoadPlan short_plan{.addresses = CallerAddresses(deployment),
                             .path = "/s/status/x",
