Grant a host at most 64 lines, so that its heartbeat fits in a datagram

Cause: heartbeats and replies list every target and class that a host holds. With many targets in one region they exceeded 1,400 bytes, were counted as malformed and never sent, so that the host got no slots at all.

Change: the ledger gives a host no new line beyond 64, in equal parts for each service and class.

The new test fails without the limit (300 lines), and with one limit for all services (0 lines for the first).

--- a/src/shares/internal/ledger_division.cc
+++ b/src/shares/internal/ledger_division.cc
@@ -135,11 +135,22 @@
   }
 }
 
+bool Ledger::HasLineRoom(const Host& host, const DemandKey& key) const {
+  const auto n = std::count_if(host.lines.begin(), host.lines.end(), [&](const auto& it) {
+    if (it.first.work_class != key.work_class) return false;
+    const auto target = targets_.find(it.first.target);
+    return target != targets_.end() && target->second.spec.service == key.service;
+  });
+  const std::size_t most = kMaxLinesPerHost / (services_.size() * base::kWorkClasses);
+  return static_cast<std::size_t>(n) < std::max<std::size_t>(most, 1);
+}
+
 bool Ledger::GrantOne(Host& host, const DemandKey& key, base::Instant now) {
   const std::uint32_t owed = SlotsOwedFirst(host, key, now);
   if (owed > 0 && FreeSlots(key) + Returning(key) <= owed) {
     return false;
   }
+  const bool has_line_room = HasLineRoom(host, key);
   const LineKey* best = nullptr;
   LineKey best_key;
   std::tuple<bool, int, std::uint32_t> best_score;
@@ -149,6 +160,9 @@
       continue;
     }
     const auto it = host.lines.find(line_key);
+    if (it == host.lines.end() && !has_line_room) {
+      continue;
+    }
     const int granted = it == host.lines.end() ? 0 : it->second.grant;
     const std::tuple score(targets_.at(t).spec.zone == host.info.zone, -granted,
                            Room(host, line_key, now));
--- a/src/shares/ledger.h
+++ b/src/shares/ledger.h
@@ -165,6 +165,9 @@
   void Serve(Host& host, base::Instant now);
   void ServeDemand(Host& host, const DemandKey& key, base::Instant now);
   bool GrantOne(Host& host, const DemandKey& key, base::Instant now);
+  /// Whether the host may get a line that it does not have. Each service and class has an equal
+  /// part of kMaxLinesPerHost, so that one service with many targets does not starve the others.
+  bool HasLineRoom(const Host& host, const DemandKey& key) const;
   void RecallFor(const Host& host, const DemandKey& key, base::Instant now);
   bool RecallOne(const Host& host, const DemandKey& key, bool busy, base::Instant now);
   std::uint32_t Granted(const Host& host, const DemandKey& key) const;
--- a/src/shares/messages.h
+++ b/src/shares/messages.h
@@ -12,6 +12,10 @@
 
 namespace mangonotch::shares {
 
+/// Most lines (targets and classes) granted to one host. A heartbeat lists every line that its
+/// sender holds in one datagram of 1,400 bytes: 64 lines of 13 bytes leave over 500 for its head.
+inline constexpr std::size_t kMaxLinesPerHost = 64;
+
 /// Slots of one target and class that a host holds or asks for.
 struct HoldingLine {
   base::TargetKey target;
--- a/src/shares/tests/ledger_test.cc
+++ b/src/shares/tests/ledger_test.cc
@@ -3,6 +3,7 @@
 
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "region_sim.h"
@@ -210,4 +211,30 @@
   REQUIRE(ledger.OnHeartbeat(heartbeat, true, {})->grants.size() == 1);
 }
 
+// Guards against heartbeats and replies that name more lines than a datagram carries, so that the
+// host gets no grant at all, and against one service with many targets taking every line.
+TEST_CASE("A host gets no more lines than a heartbeat can list, and some of each service") {
+  constexpr base::ServiceKey kOther = base::MakeServiceKey("hakemus");
+  SimSettings settings = Calm(2, 300, 2);
+  for (int i = 0; i < 300; ++i) {
+    settings.targets.push_back(
+        {base::MakeTargetKey("hakemus", std::to_string(i)), kOther, 2, 0, i % 2 == 0 ? "a" : "b"});
+  }
+  settings.limits.push_back({kOther, {1000, 50, 100}});
+  RegionSim sim(settings, 1);
+  RunFor(sim, 30);
+  for (std::size_t i = 0; i < sim.members().size(); ++i) {
+    std::size_t lines[2] = {0, 0};
+    for (const Grant& it : sim.members()[i].holdings.GrantsInForce(sim.now())) {
+      const bool is_other =
+          std::any_of(settings.targets.begin() + 300, settings.targets.end(),
+                      [&](const TargetSpec& target) { return target.target == it.target; });
+      ++lines[is_other ? 1 : 0];
+    }
+    REQUIRE(lines[0] + lines[1] <= kMaxLinesPerHost);
+    REQUIRE(lines[0] > 0);
+    REQUIRE(lines[1] > 0);
+  }
+}
+
 }  // namespace mangonotch::shares
