--- a/bench/load/load.cc
+++ b/bench/load/load.cc
@@ -90,6 +90,7 @@
   std::vector<LoadReport> parts(plan.threads);
   {
     std::vector<std::jthread> threads;
+    threads.reserve(parts.size());
     for (LoadReport& part : parts) threads.emplace_back([&run, &part] { run.Work(part); });
   }
   LoadReport total;
--- a/bench/measure/control.cc
+++ b/bench/measure/control.cc
@@ -99,6 +99,7 @@
 CostPair MeasureCost(int regions, int hosts_per_region, TableSize size) {
   support::DeploymentSpec spec;
   spec.regions.clear();
+  spec.regions.reserve(static_cast<std::size_t>(regions));
   for (int i = 0; i < regions; ++i) spec.regions.push_back("region" + std::to_string(i + 1));
   spec.hosts_per_region = hosts_per_region;
   support::Deployment deployment(spec);
@@ -130,6 +131,7 @@
 void PrintSlopes(const char* per, const std::vector<double>& x, const std::vector<Cost>& costs) {
   const auto print = [&](const char* name, auto member) {
     std::vector<double> y;
+    y.reserve(costs.size());
     for (const Cost& it : costs) y.push_back(it.*member);
     const Line line = Fit(x, y);
     std::printf("  %-24s %10.3f + %.5f per %s\n", name, line.intercept, line.slope, per);
@@ -147,6 +149,8 @@
 /// Slopes over what `x` names, idle and under edits.
 void PrintSlopes(const char* per, const std::vector<double>& x, const std::vector<CostPair>& all) {
   std::vector<Cost> idle, edits;
+  idle.reserve(all.size());
+  edits.reserve(all.size());
   for (const CostPair& it : all) {
     idle.push_back(it.idle);
     edits.push_back(it.edits);
