--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -50,7 +50,8 @@
                     base::Instant now);
   void OnReadFailed(base::Instant now);
   void OnWriteDone(shares::WriteResult result, std::uint64_t version, base::Instant now);
-  void OnHostList(std::span<const membership::HostListEntry> entries);
+  /// The list names entry hosts, and targets by their address.
+  void OnHostList(std::span<const membership::HostListEntry> entries, base::Instant now);
   void OnHealth(const HealthReport& report, base::Instant now);
   /// An answer of the target says that it is leaving.
   void OnDraining(base::TargetKey target, base::Instant now);
@@ -132,6 +133,9 @@
   std::vector<GrantedLine> grants_in_gates_;
   /// Live hosts at the last look, sorted.
   std::vector<base::HostId> known_live_;
+  /// Names that the last host list showed as leaving, sorted. The list lags, so only a new entry is
+  /// news: an old one may be behind a newer health report.
+  std::vector<base::HostId> listed_leaving_;
   /// Targets that the gates know as leaving.
   std::vector<base::TargetKey> leaving_in_gates_;
   base::Instant next_lease_tick_;
--- a/src/control/internal/control_thread.inl
+++ b/src/control/internal/control_thread.inl
@@ -16,7 +16,7 @@
 /// The store answers in milliseconds; a call that takes this long meets an outage.
 inline constexpr base::Duration kStoreTime = base::Duration::Seconds(1);
 inline constexpr base::Duration kWatchPause = base::Duration::Milliseconds(250);
-inline constexpr base::Duration kHostListPause = base::Duration::Seconds(2);
+inline constexpr base::Duration kHostListPause = base::Duration::Seconds(1);
 inline constexpr base::Duration kHealthPause = base::Duration::Seconds(1);
 inline constexpr base::Duration kHealthTime = base::Duration::Milliseconds(300);
 inline constexpr base::Duration kPullTime = base::Duration::Seconds(2);
@@ -281,7 +281,9 @@
         http::Now() + kPullTime);
     if (response.status != 200) return;
     auto entries = ParseHostList(response.body);
-    Post([entries = std::move(entries)](Controller& it, base::Instant) { it.OnHostList(entries); });
+    Post([entries = std::move(entries)](Controller& it, base::Instant now) {
+      it.OnHostList(entries, now);
+    });
   } catch (const base::Error&) {
     // The list only adds knowledge; without it the known hosts stay.
   }
--- a/src/control/internal/controller.cc
+++ b/src/control/internal/controller.cc
@@ -156,8 +156,24 @@
   Carry(lease_.OnWriteDone(result, version, now));
 }
 
-void Controller::OnHostList(std::span<const membership::HostListEntry> entries) {
+void Controller::OnHostList(std::span<const membership::HostListEntry> entries, base::Instant now) {
   members_.OnHostList(entries);
+  std::vector<base::HostId> listed;
+  for (const membership::HostListEntry& it : entries) {
+    if (it.leaving) listed.push_back(it.host);
+  }
+  std::sort(listed.begin(), listed.end());
+  std::swap(listed, listed_leaving_);
+  if (!table_) return;
+  bool has_changed = false;
+  for (const base::TargetKey target : table_->target_keys()) {
+    const std::string& address = table_->FindTarget(target)->address;
+    const bool is_new =
+        std::binary_search(listed_leaving_.begin(), listed_leaving_.end(), address) &&
+        !std::binary_search(listed.begin(), listed.end(), address);
+    if (is_new) has_changed = leaving_.OnLeaving(target, now) || has_changed;
+  }
+  if (has_changed) OnMarksChanged(now);
 }
 
 void Controller::OnHealth(const HealthReport& report, base::Instant now) {
--- /dev/null
+++ b/src/control/tests/controller_test.cc
@@ -0,0 +1,172 @@
+// The control state of one host in virtual time, with a store that answers every call at once.
+#include "control/controller.h"
+
+#include <catch2/catch.hpp>
+
+#include "control/tests/test_table.h"
+
+namespace mangonotch::control {
+namespace {
+
+constexpr base::Duration kStep = base::Duration::Milliseconds(50);
+
+membership::HostInfo HostNamed(const std::string& name, const std::string& address) {
+  return {.ref = {name, address, 7}, .region = "north", .zone = "north-a"};
+}
+
+/// Carries a controller's effects out: the store holds one record, and the gates remember their
+/// grants.
+class Harness {
+ public:
+  explicit Harness(std::vector<membership::HostInfo> seeds = {})
+      : controller_({HostNamed("north-1", "127.0.0.1:1"), std::move(seeds)}, now_) {}
+
+  Controller& controller() { return controller_; }
+  base::Instant now() const { return now_; }
+
+  void Run(base::Duration time, const GateUsage& usage = {}) {
+    for (const base::Instant end = now_ + time; now_ < end; now_ = now_ + kStep) {
+      controller_.Tick(usage, now_);
+      Apply(controller_.TakeEffects(now_));
+    }
+  }
+
+  void Apply(const Effects& effects) {
+    for (const shares::Grant& it : effects.grants) granted[{it.target, it.work_class}] = it.slots;
+    for (const LeavingChange& it : effects.leaving) leaving[it.target] = it.leaving;
+    if (effects.snapshot) snapshot = effects.snapshot;
+    if (effects.read_record) {
+      controller_.OnRecordRead(record_, version_, now_);
+      Apply(controller_.TakeEffects(now_));
+    }
+    if (effects.write_record) {
+      const bool is_expected = effects.write_record->expected_version == version_;
+      if (is_expected) record_ = effects.write_record->record;
+      version_ += is_expected ? 1 : 0;
+      controller_.OnWriteDone(
+          is_expected ? shares::WriteResult::kAccepted : shares::WriteResult::kConflict, version_,
+          now_);
+      Apply(controller_.TakeEffects(now_));
+    }
+  }
+
+  std::uint32_t GrantedSlots() const {
+    std::uint32_t n = 0;
+    for (const auto& [line, slots] : granted) n += slots;
+    return n;
+  }
+
+  std::map<std::pair<base::TargetKey, base::WorkClass>, std::uint16_t> granted;
+  std::map<base::TargetKey, bool> leaving;
+  SnapshotPtr snapshot;
+
+ private:
+  base::Instant now_ = base::Instant::FromNanoseconds(1'000'000'000);
+  Controller controller_;
+  std::optional<shares::RegionRecord> record_;
+  std::uint64_t version_ = 0;
+};
+
+GateUsage Wanting(const SteeringTable& table, std::uint16_t slots) {
+  GateUsage usage;
+  usage.demand.push_back({.region = *table.FindRegion("north"),
+                          .service = base::MakeServiceKey("status"),
+                          .work_class = base::WorkClass::kShort,
+                          .wanted = slots});
+  return usage;
+}
+
+}  // namespace
+
+TEST_CASE("A host alone becomes coordinator and grants itself what it wants, up to the slots") {
+  Harness harness;
+  const auto table = MakeTable(1);
+  harness.controller().OnTable(publication::Source::kStore, table, harness.now());
+  harness.Run(base::Duration::Seconds(3), Wanting(*table, 4));
+  REQUIRE(harness.controller().IsCoordinator(harness.now()));
+  REQUIRE(harness.GrantedSlots() == 4);
+  harness.Run(base::Duration::Seconds(3), Wanting(*table, 100));
+  REQUIRE(harness.GrantedSlots() == 9);
+}
+
+// Gates keep what they are not told of; a recalled line that is only left out would stay in use
+// until its deadline.
+TEST_CASE("A recalled grant is set to no slots at the gates") {
+  Harness harness;
+  const auto table = MakeTable(1);
+  harness.controller().OnTable(publication::Source::kStore, table, harness.now());
+  harness.Run(base::Duration::Seconds(3), Wanting(*table, 100));
+  const base::TargetKey target = base::MakeTargetKey("status", "127.0.0.1:9001");
+  REQUIRE(harness.granted.at({target, base::WorkClass::kShort}) > 0);
+
+  harness.controller().OnDraining(target, harness.now());
+  harness.Run(base::Duration::Seconds(1), Wanting(*table, 100));
+  REQUIRE(harness.leaving.at(target));
+  REQUIRE(harness.granted.at({target, base::WorkClass::kShort}) == 0);
+}
+
+TEST_CASE("An older table never replaces a newer one, whoever offers it") {
+  Harness harness;
+  harness.controller().OnTable(publication::Source::kPeer, MakeTable(5), harness.now());
+  harness.controller().OnTable(publication::Source::kStore, MakeTable(4), harness.now());
+  REQUIRE(harness.controller().revision() == 5);
+  harness.controller().OnTable(publication::Source::kStore, MakeTable(6), harness.now());
+  REQUIRE(harness.controller().revision() == 6);
+}
+
+// A stale read at the start would otherwise put an old revision in force while a live peer has a
+// newer one.
+TEST_CASE("A host that starts does not steer with less than what a live peer has") {
+  const auto peer = HostNamed("north-2", "127.0.0.1:2");
+  Harness harness({peer});
+  shares::Heartbeat heartbeat;
+  heartbeat.sender = peer;
+  heartbeat.sender.table_revision = 3;
+  heartbeat.region = "north";
+  heartbeat.sequence = 1;
+  harness.controller().OnMessage(heartbeat, 1, harness.now());
+  harness.controller().OnTable(publication::Source::kStore, MakeTable(2), harness.now());
+  // As long as the peer counts as live, by its heartbeats.
+  for (int i = 2; i < 6; ++i) {
+    harness.Run(base::Duration::Milliseconds(500));
+    heartbeat.sequence = static_cast<std::uint64_t>(i);
+    harness.controller().OnMessage(heartbeat, heartbeat.sequence, harness.now());
+  }
+  REQUIRE_FALSE(harness.controller().is_steering());
+  REQUIRE(harness.snapshot->table == nullptr);
+  harness.controller().OnTable(publication::Source::kPeer, MakeTable(3), harness.now());
+  harness.Run(base::Duration::Seconds(2));
+  REQUIRE(harness.controller().is_steering());
+  REQUIRE(harness.snapshot->table->revision() == 3);
+}
+
+// The list lags: an entry that stays must not take a target out again that a newer health report
+// has brought back.
+TEST_CASE("Only a new entry of the host list marks a target as leaving") {
+  Harness harness;
+  harness.controller().OnTable(publication::Source::kStore, MakeTable(1), harness.now());
+  const base::TargetKey target = base::MakeTargetKey("status", "127.0.0.1:9002");
+  const std::vector<membership::HostListEntry> list = {{.host = "127.0.0.1:9002", .leaving = true}};
+  harness.controller().OnHostList(list, harness.now());
+  harness.Run(base::Duration::Seconds(6));
+  REQUIRE(harness.leaving.at(target));
+  harness.controller().OnHealth({target, false, harness.now()}, harness.now());
+  harness.Run(base::Duration::Seconds(1));
+  REQUIRE_FALSE(harness.leaving.at(target));
+  harness.controller().OnHostList(list, harness.now());
+  harness.Run(base::Duration::Seconds(1));
+  REQUIRE_FALSE(harness.leaving.at(target));
+}
+
+TEST_CASE("Messages from strangers are counted and change nothing") {
+  Harness harness;
+  const auto before = harness.controller().refused_messages();
+  shares::Heartbeat heartbeat;
+  heartbeat.sender = HostNamed("stranger", "127.0.0.1:99");
+  heartbeat.sender.table_revision = 100;
+  harness.controller().OnMessage(heartbeat, 1, harness.now());
+  REQUIRE(harness.controller().refused_messages() == before + 1);
+  REQUIRE_FALSE(harness.controller().TakeEffects(harness.now()).pull_table.has_value());
+}
+
+}  // namespace mangonotch::control
