Tell the caller unknown when an idempotent request may have run

at_most_once_test failed first: a PUT that a target ran without an answer (close_after_read) was answered not-run, since the dispatcher raised the outcome only for requests that are not idempotent. A request that its target shed stays not-run.

--- a/src/traffic/internal/dispatcher.cc
+++ b/src/traffic/internal/dispatcher.cc
@@ -118,7 +118,10 @@
     const auto& admitted = std::get<admission::Admitted>(acquired);
     Attempt attempt = Send(table, plan, request, ticket, gate, admitted);
     if (attempt.response) return Served::Answered(std::move(*attempt.response));
-    if (attempt.bytes_written && !plan.is_idempotent) worst = Outcome::kUnknown;
+    // A shed request was refused by its target before it ran; any other that was written may have
+    // run, also an idempotent one.
+    const bool is_shed = !attempt.is_cancelled && attempt.retry_reason == RetryReason::kShed;
+    if (attempt.bytes_written && !is_shed) worst = Outcome::kUnknown;
     if (attempt.is_cancelled) return Served::Refused(worst, RefusalReason::kCallerGone, 503);
 
     const bool is_safe = retry::IsSafeToRepeat({.is_idempotent = plan.is_idempotent,
