Draw each address of a test deployment once

Ports were drawn by binding and closing, so the kernel could hand out the same one twice. A run of the measurements with 9 hosts (45 addresses) failed: 'seeds[6]: expected each address once, found "127.0.0.1:57423" a second time'. Any end-to-end test could fail the same way, now and then.

--- a/tests/support/deployment.cc
+++ b/tests/support/deployment.cc
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -26,7 +27,7 @@
 constexpr int kReadyPolls = 400;
 
 /// A port of 127.0.0.1 that was free a moment ago, for TCP and UDP.
-std::string FreeAddress() {
+std::string DrawAddress() {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -38,6 +39,15 @@
   return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
+/// The kernel may draw a port again once it is closed, so addresses drawn before are passed over:
+/// settings refuse an address that occurs twice.
+std::string FreeAddress() {
+  static std::set<std::string> drawn;
+  std::string address = DrawAddress();
+  while (!drawn.insert(address).second) address = DrawAddress();
+  return address;
+}
+
 std::string ZoneName(const std::string& region, int zone) {
   return region + "-" + static_cast<char>('a' + zone);
 }
