--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,11 +1,11 @@
-# Functions that declare a module of src/ and its unit tests.
+# Functions that declare a module of src/ and its unit tests, and the installed package of the core modules.
 
 add_library(catch_main OBJECT ${CMAKE_SOURCE_DIR}/tests/catch_main.cc)
 # Catch2 itself is neither optimised nor instrumented: with sanitizers it takes minutes to compile.
 target_compile_options(catch_main PRIVATE -O0 -g0 -fno-sanitize=all)
 
 # mangonotch_module(NAME [DEPS module...] [LIBS library...])
-# Builds internal/*.cc into mangonotch_NAME (an interface library when there is none) and tests/*_test.cc into
+# Builds internal/*.cc into mangonotch_NAME, also called mangonotch::NAME (an interface library when there is none) and tests/*_test.cc into
 # NAME_tests.
 function(mangonotch_module NAME)
   cmake_parse_arguments(ARG "" "" "DEPS;LIBS" ${ARGN})
@@ -16,14 +16,16 @@
   if(sources)
     add_library(${target} STATIC ${sources})
     target_include_directories(${target} PUBLIC $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/src>
-                                                $<INSTALL_INTERFACE:include/mangonotch>)
+                                                $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/mangonotch>)
     target_link_libraries(${target} PUBLIC ${ARG_DEPS} ${ARG_LIBS})
   else()
     add_library(${target} INTERFACE)
     target_include_directories(${target} INTERFACE $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/src>
-                                                   $<INSTALL_INTERFACE:include/mangonotch>)
+                                                   $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/mangonotch>)
     target_link_libraries(${target} INTERFACE ${ARG_DEPS} ${ARG_LIBS})
   endif()
+  # The name that users of the installed package link to.
+  add_library(mangonotch::${NAME} ALIAS ${target})
   if(tests)
     add_executable(${NAME}_tests ${tests} $<TARGET_OBJECTS:catch_main>)
     target_link_libraries(${NAME}_tests PRIVATE ${target} Catch2::Catch2 rapidcheck)
@@ -32,3 +34,37 @@
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 300 ENVIRONMENT "RC_PARAMS=seed=20261204")
   endif()
 endfunction()
+
+# mangonotch_install_package(module...)
+# Installs the modules with their public headers and the CMake package `mangonotch`, whose targets are
+# mangonotch::<module>. All of it is in the install component `development`; the target `package_libraries` builds it.
+# The dependencies of each module must be in the list too.
+function(mangonotch_install_package)
+  set(package_dir ${CMAKE_INSTALL_LIBDIR}/cmake/mangonotch)
+  add_custom_target(package_libraries)
+  foreach(module IN LISTS ARGN)
+    set(target mangonotch_${module})
+    get_target_property(type ${target} TYPE)
+    set(scope PUBLIC)
+    if(type STREQUAL INTERFACE_LIBRARY)
+      set(scope INTERFACE)
+    else()
+      add_dependencies(package_libraries ${target})
+    endif()
+    # The headers need C++20 from their user, whatever standard its own project sets.
+    target_compile_features(${target} ${scope} cxx_std_20)
+    set_target_properties(${target} PROPERTIES EXPORT_NAME ${module})
+    install(TARGETS ${target} EXPORT mangonotch_targets ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR}
+            COMPONENT development)
+    install(DIRECTORY ${CMAKE_SOURCE_DIR}/src/${module}/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/mangonotch/${module}
+            COMPONENT development FILES_MATCHING PATTERN "*.h" PATTERN internal EXCLUDE PATTERN tests EXCLUDE)
+  endforeach()
+  install(EXPORT mangonotch_targets NAMESPACE mangonotch:: DESTINATION ${package_dir} COMPONENT development)
+  configure_package_config_file(${CMAKE_SOURCE_DIR}/cmake/mangonotch-config.cmake.in
+                                ${CMAKE_BINARY_DIR}/mangonotch-config.cmake INSTALL_DESTINATION ${package_dir})
+  # Interfaces may change with every minor version before 1.0.
+  write_basic_package_version_file(${CMAKE_BINARY_DIR}/mangonotch-config-version.cmake
+                                   COMPATIBILITY SameMinorVersion)
+  install(FILES ${CMAKE_BINARY_DIR}/mangonotch-config.cmake ${CMAKE_BINARY_DIR}/mangonotch-config-version.cmake
+          DESTINATION ${package_dir} COMPONENT development)
+endfunction()
