--- a/src/control/control_thread.h
+++ b/src/control/control_thread.h
@@ -71,6 +71,7 @@
   void Pull(const PullTable& pull);
   void Offer(publication::Source source, const std::string& text, const std::string& peer);
   void WatchTable();
+  bool WatchTableOnce();
   void PollHostList();
   void PollHealth();
   bool IsCoordinator() const { return counters_.is_coordinator.load(); }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -53,6 +53,8 @@
   /// The list names entry hosts, and targets by their address.
   void OnHostList(std::span<const membership::HostListEntry> entries, base::Instant now);
   void OnHealth(const HealthReport& report, base::Instant now);
+  /// Nothing listens at the target's health endpoint.
+  void OnHealthGone(base::TargetKey target, base::Instant now);
   /// An answer of the target says that it is leaving.
   void OnDraining(base::TargetKey target, base::Instant now);
   /// Requests wait for slots: heartbeats go out at once.
--- a/src/control/internal/control_thread.inl
+++ b/src/control/internal/control_thread.inl
@@ -253,12 +253,21 @@
   }
 }
 
+// While this host is the coordinator one long poll follows the other without a pause: a table that is accepted while
+// nobody watches would be known to the store alone.
 template <store::Store S, GatePort G>
 void ControlThread<S, G>::WatchTable() {
-  if (is_stopping_) return;
+  while (WatchTableOnce()) {
+  }
+}
+
+/// True when the next watch may follow at once.
+template <store::Store S, GatePort G>
+bool ControlThread<S, G>::WatchTableOnce() {
+  if (is_stopping_) return false;
   // Every host reads the table once when it starts; after that only coordinators watch it.
   const bool is_first = counters_.revision == 0 && table_version_ == 0;
-  if (!is_first && !IsCoordinator()) return;
+  if (!is_first && !IsCoordinator()) return false;
   counters_.store_reads.Add();
   const store::ReadResult result =
       is_first ? store_.Get(kTableKey, http::Now() + kStoreTime)
@@ -266,9 +275,11 @@
   if (result.status == store::ReadStatus::kNotFound) {
     Post([](Controller& it, base::Instant) { it.OnEmptyStore(); });
   }
-  if (result.status != store::ReadStatus::kOk) return;
+  if (result.status == store::ReadStatus::kUnchanged) return true;
+  if (result.status != store::ReadStatus::kOk) return false;
   table_version_ = result.version;
   Offer(publication::Source::kStore, result.value, "store");
+  return true;
 }
 
 template <store::Store S, GatePort G>
@@ -308,8 +319,10 @@
       Post([=](Controller& it, base::Instant now) {
         it.OnHealth({target, is_leaving, asked_at}, now);
       });
-    } catch (const base::Error&) {
-      // A target that does not answer is left to the gates' own observations.
+    } catch (const http::ClientError& ex) {
+      // A target that is late is left to the gates' own observations.
+      if (ex.failure() != http::Failure::kConnectRefused) continue;
+      Post([=](Controller& it, base::Instant now) { it.OnHealthGone(target, now); });
     }
   }
 }
--- a/src/control/internal/controller.cc
+++ b/src/control/internal/controller.cc
@@ -182,6 +182,10 @@
   }
 }
 
+void Controller::OnHealthGone(base::TargetKey target, base::Instant now) {
+  if (leaving_.OnHealthGone(target)) OnMarksChanged(now);
+}
+
 void Controller::OnDraining(base::TargetKey target, base::Instant now) {
   if (leaving_.OnLeaving(target, now)) OnMarksChanged(now);
 }
--- a/src/membership/internal/leaving_targets.cc
+++ b/src/membership/internal/leaving_targets.cc
@@ -11,10 +11,24 @@
     return false;
   }
   state.leaving = true;
+  state.confirmed = false;
   ++state.generation;
   return true;
 }
 
+bool LeavingTargets::Confirm(State& state) {
+  if (!state.leaving || state.confirmed) {
+    return false;
+  }
+  state.confirmed = true;
+  return true;
+}
+
+bool LeavingTargets::OnHealthGone(base::TargetKey target) {
+  const auto it = states_.find(target);
+  return it != states_.end() && Confirm(it->second);
+}
+
 bool LeavingTargets::OnLeaving(base::TargetKey target, base::Instant now) {
   return Mark(states_[target], now);
 }
@@ -22,10 +36,12 @@
 bool LeavingTargets::OnHealthReport(base::TargetKey target, bool leaving, base::Instant asked_at,
                                     base::Instant now) {
   if (leaving) {
-    return Mark(states_[target], now);
+    const bool is_new = Mark(states_[target], now);
+    return Confirm(states_[target]) || is_new;
   }
   const auto it = states_.find(target);
-  if (it == states_.end() || !it->second.leaving || asked_at < it->second.clear_from) {
+  if (it == states_.end() || !it->second.leaving || !it->second.confirmed ||
+      asked_at < it->second.clear_from) {
     return false;
   }
   it->second.leaving = false;
@@ -46,7 +62,8 @@
   const bool is_newer = mark.generation > state.generation ||
                         (mark.generation == state.generation && mark.leaving && !state.leaving);
   if (!is_newer) {
-    return false;
+    const bool is_same = mark.generation == state.generation && mark.leaving;
+    return is_same && mark.confirmed && Confirm(state);
   }
   if (state.leaving && !mark.leaving && now < state.seen_until) {
     state.generation = mark.generation + 1;
@@ -56,6 +73,7 @@
     state.clear_from = now + kSettle;
   }
   state.leaving = mark.leaving;
+  state.confirmed = mark.confirmed;
   state.generation = mark.generation;
   return true;
 }
@@ -69,7 +87,7 @@
   std::vector<LeavingMark> marks;
   for (const auto& [target, state] : states_) {
     if (state.generation > 0) {
-      marks.push_back({target, state.leaving, state.generation});
+      marks.push_back({target, state.leaving, state.generation, state.confirmed});
     }
   }
   return marks;
--- a/src/membership/leaving_targets.h
+++ b/src/membership/leaving_targets.h
@@ -1,9 +1,11 @@
 // Which targets are leaving. A mark carries a generation that grows with each change, so that an
 // old mark never overrides a newer one, whichever source it comes from.
 //
-// Health endpoints lag: a report that a target stays clears a mark only when it was asked for some
-// time after the mark was set. A host that has itself just seen the target leave raises its mark
-// above a peer's older clearing one.
+// Health endpoints lag and mislead: a live report clears a mark only when the endpoint had shown
+// the leave after the mark was set, or was gone (the process ended), and when it was asked for some
+// time after the mark. Otherwise a target that tells its drain in its answers alone would get new
+// work again and again. A host that has itself just seen the target leave raises its mark above a
+// peer's older clearing one.
 #pragma once
 
 #include <cstdint>
@@ -30,6 +32,9 @@
   bool OnHealthReport(base::TargetKey target, bool leaving, base::Instant asked_at,
                       base::Instant now);
 
+  /// Nothing listens at the target's health endpoint. Returns true when that confirms a mark.
+  bool OnHealthGone(base::TargetKey target);
+
   /// Marks from peers. Returns true when any changed the state, so that Marks() is passed on.
   bool OnMarks(std::span<const LeavingMark> marks, base::Instant now);
 
@@ -44,6 +49,8 @@
     bool leaving = false;
     /// Grows with each change of `leaving`, here or at a peer.
     std::uint64_t generation = 0;
+    /// As in LeavingMark.
+    bool confirmed = false;
     /// Reports asked for before then do not clear the mark.
     base::Instant clear_from;
     /// Until then a clearing mark of a peer is older than what was seen here.
@@ -51,6 +58,7 @@
   };
 
   bool Mark(State& state, base::Instant now);
+  static bool Confirm(State& state);
   bool Merge(State& state, const LeavingMark& mark, base::Instant now);
 
   std::map<base::TargetKey, State> states_;
--- a/src/membership/messages.h
+++ b/src/membership/messages.h
@@ -32,6 +32,9 @@
   base::TargetKey target;
   bool leaving = true;
   std::uint64_t generation = 0;
+  /// The target's health endpoint has shown the leave too, or was gone, so that its next live
+  /// report brings it back.
+  bool confirmed = false;
 
   bool operator==(const LeavingMark&) const = default;
 };
--- a/src/wire/internal/layout.h
+++ b/src/wire/internal/layout.h
@@ -33,6 +33,7 @@
   ar(v.target.value);
   ar(wire::internal::Binary(v.leaving));
   ar(v.generation);
+  ar(wire::internal::Binary(v.confirmed));
 }
 
 template <class Archive>
