Grant places for callers of other regions through the coordinator

Cause: a region's own hosts served callers of a lost region under the region's own grants (end-to-end test: up to 15 in flight where 4 were allowed). A split of the cap by the slots that each host holds gave every host less than one place, so no moved work was served at all (936 refusals, no answer); that try is dropped. The coordinator now grants the places like slots of a target, and each host ramps its part.

--- a/src/app/internal/entry_host.cc
+++ b/src/app/internal/entry_host.cc
@@ -82,7 +82,7 @@
   explicit Impl(const settings::HostSettings& settings)
       : self_(SelfOf(settings)),
         store_(http::Endpoint::Parse(settings.store)),
-        gates_(settings.region),
+        gates_(settings.region, HostsInRegion(settings)),
         exposer_(registry_, settings.listen.metrics),
         tickets_(self_.ref.host, self_.ref.incarnation, TicketLimitsOf(settings)),
         control_({.controller = {self_, SeedsOf(settings)},
--- a/src/control/internal/controller.cc
+++ b/src/control/internal/controller.cc
@@ -325,7 +325,9 @@
   if (!region) return in_use;
   for (const shares::InUse& it : usage.in_use) {
     const TargetPlace* place = table_->FindTarget(it.target);
-    if (place != nullptr && place->region == *region) in_use.push_back(it);
+    const bool is_of_region =
+        place == nullptr ? IsOwnRegion(heartbeat.region) : place->region == *region;
+    if (is_of_region) in_use.push_back(it);
   }
   for (const RegionDemand& it : usage.demand) {
     if (it.region != *region) continue;
@@ -438,11 +440,20 @@
     }
     for (const table::ServiceRegion& it : service.regions) {
       if (it.region != region) continue;
+      const std::uint32_t limit = it.weight == 0 ? 0 : it.limit;
       limits.push_back(
           {service.key,
-           {.region_limit = it.weight == 0 ? 0 : it.limit,
+           {.region_limit = limit,
             .cap_percent = kMovedHalf * it.moved_in_cap_percent,
             .ramp_points_per_minute = kMovedHalf * it.moved_in_ramp_percent_per_minute}});
+      const MovedPlaces places = table_->MovedPlacesOf(*table_->FindService(service.name));
+      const auto n = static_cast<std::uint16_t>(kMovedHalf * limit * it.moved_in_cap_percent / 100);
+      targets.push_back({.target = places.target,
+                         .service = places.service,
+                         .short_slots = n,
+                         .long_slots = 0,
+                         .zone = self_.zone});
+      limits.push_back({places.service, {.region_limit = n}});
     }
   }
   ledger_.SetLongestDeadlines(longest);
--- a/src/control/internal/steering_table.cc
+++ b/src/control/internal/steering_table.cc
@@ -95,6 +95,9 @@
   for (const table::Service& service : table_->services) {
     PrepareTargets(service);
     PreparePreferences(service);
+    // '/' occurs in no name of a service and no address, so the keys are those of nothing else.
+    moved_places_.push_back({base::MakeTargetKey(service.name, "/moved-in"),
+                             base::MakeServiceKey(service.name + "/moved-in")});
   }
 }
 
@@ -172,6 +175,13 @@
   return n ? std::optional(base::ZoneIndex{*n}) : std::nullopt;
 }
 
+std::optional<base::ServiceIndex> SteeringTable::FindMovedPlaces(base::TargetKey target) const {
+  const auto it = std::find_if(moved_places_.begin(), moved_places_.end(),
+                               [&](const MovedPlaces& places) { return places.target == target; });
+  if (it == moved_places_.end()) return std::nullopt;
+  return base::ServiceIndex{static_cast<std::uint32_t>(it - moved_places_.begin())};
+}
+
 const TargetPlace* SteeringTable::FindTarget(base::TargetKey key) const {
   const auto it = places_.find(key.value);
   return it == places_.end() ? nullptr : &it->second;
--- a/src/control/steering_table.h
+++ b/src/control/steering_table.h
@@ -34,6 +34,14 @@
 /// the region's own hosts.
 inline constexpr double kMovedHalf = 0.5;
 
+/// Places for callers of other regions that come to a region's own hosts. The coordinator grants
+/// them like the slots of a target, under a service of their own, so deadlines, recovery and the
+/// sum over hosts hold for them as for slots.
+struct MovedPlaces {
+  base::TargetKey target;
+  base::ServiceKey service;
+};
+
 class SteeringTable {
  public:
   /// Takes a table that has passed its checks; `text` is what peers pull.
@@ -65,6 +73,12 @@
   std::span<const std::uint32_t> DistancesFrom(base::RegionIndex region) const {
     return table_->regions[region.value].distance_ms;
   }
+  /// Keys of a service's places for moved work; the same in every region.
+  MovedPlaces MovedPlacesOf(base::ServiceIndex service) const {
+    return moved_places_[service.value];
+  }
+  /// The service whose places for moved work `target` stands for, if any.
+  std::optional<base::ServiceIndex> FindMovedPlaces(base::TargetKey target) const;
   const topology::ClientMap& clients() const { return clients_; }
   std::span<const base::TargetKey> target_keys() const { return target_keys_; }
 
@@ -80,6 +94,7 @@
   std::vector<std::vector<std::vector<admission::RegionPreference>>> preferences_;
   std::unordered_map<std::uint64_t, TargetPlace> places_;
   std::vector<base::TargetKey> target_keys_;
+  std::vector<MovedPlaces> moved_places_;  // By service.
 };
 
 using SteeringTablePtr = std::shared_ptr<const SteeringTable>;
--- a/src/membership/tests/leaving_targets_test.cc
+++ b/src/membership/tests/leaving_targets_test.cc
@@ -19,12 +19,31 @@
   REQUIRE(targets.OnLeaving(kTarget, At(1000)));
   REQUIRE_FALSE(targets.OnLeaving(kTarget, At(1100)));
   REQUIRE_FALSE(targets.OnHealthReport(kTarget, false, At(900), At(1200)));
+  REQUIRE(targets.OnHealthGone(kTarget));
   REQUIRE_FALSE(targets.OnHealthReport(kTarget, false, At(6000), At(6001)));
   REQUIRE(targets.IsLeaving(kTarget));
   REQUIRE(targets.OnHealthReport(kTarget, false, At(6100), At(6101)));
   REQUIRE_FALSE(targets.IsLeaving(kTarget));
 }
 
+// An endpoint that says live all the while cleared the mark 5 s after the last answer that said
+// otherwise.
+TEST_CASE("A live report clears no mark that the health endpoint has never shown") {
+  LeavingTargets targets;
+  targets.OnLeaving(kTarget, At(0));
+  REQUIRE_FALSE(targets.OnHealthReport(kTarget, false, At(60'000), At(60'001)));
+  REQUIRE(targets.OnHealthReport(kTarget, true, At(61'000), At(61'001)));
+  REQUIRE(targets.OnHealthReport(kTarget, false, At(70'000), At(70'001)));
+  REQUIRE_FALSE(targets.IsLeaving(kTarget));
+}
+
+TEST_CASE("A peer's confirmed mark lets the next live report end it") {
+  LeavingTargets targets;
+  targets.OnLeaving(kTarget, At(0));
+  REQUIRE(targets.OnMarks(std::vector<LeavingMark>{{kTarget, true, 1, true}}, At(0)));
+  REQUIRE(targets.OnHealthReport(kTarget, false, At(6000), At(6001)));
+}
+
 TEST_CASE("An old mark does not override a newer one, in whichever order they come") {
   const LeavingMark older{kTarget, true, 1};
   const LeavingMark newer{kTarget, false, 2};
--- a/src/traffic/gate_set.h
+++ b/src/traffic/gate_set.h
@@ -17,8 +17,8 @@
 
 class GateSet {
  public:
-  /// `region` is this host's own.
-  explicit GateSet(std::string region) : region_(std::move(region)) {}
+  /// `region` is this host's own; `hosts` of it share the ramp of moved work.
+  GateSet(std::string region, std::uint32_t hosts) : region_(std::move(region)), hosts_(hosts) {}
 
   /// Null for a service that no table revision has named yet.
   std::shared_ptr<ServiceGate> Find(base::ServiceKey service) const;
@@ -34,8 +34,11 @@
 
  private:
   std::vector<std::shared_ptr<ServiceGate>> All() const;
+  void SetMovedPlaces(const control::SteeringTable& table, base::ServiceIndex index,
+                      const shares::Grant& grant);
 
   const std::string region_;
+  const std::uint32_t hosts_;
 
   mutable std::mutex mutex_;
   /// By service key; guarded by mutex_. A gate stays when its service leaves the table, as requests
--- a/src/traffic/internal/gate_set.cc
+++ b/src/traffic/internal/gate_set.cc
@@ -40,6 +40,7 @@
                         std::span<const shares::Grant> grants) {
   std::unordered_map<std::uint32_t, std::vector<admission::Grant>> by_service;
   for (const shares::Grant& it : grants) {
+    if (const auto service = table.FindMovedPlaces(it.target)) SetMovedPlaces(table, *service, it);
     const control::TargetPlace* place = table.FindTarget(it.target);
     if (place == nullptr) continue;
     by_service[place->service.value].push_back({.target = it.target,
@@ -53,6 +54,21 @@
   }
 }
 
+void GateSet::SetMovedPlaces(const control::SteeringTable& table, base::ServiceIndex index,
+                             const shares::Grant& grant) {
+  const table::Service& service = table.ServiceAt(index);
+  const auto gate = Find(service.key);
+  const auto own_region = table.FindRegion(region_);
+  const auto it = std::find_if(service.regions.begin(), service.regions.end(),
+                               [&](const auto& entry) { return entry.region == own_region; });
+  if (!gate || it == service.regions.end()) return;
+  gate->SetMovedPlaces(grant.slots, grant.deadline,
+                       {.region_limit = it->limit,
+                        .cap_percent = 100,
+                        .ramp_points_per_minute =
+                            control::kMovedHalf * it->moved_in_ramp_percent_per_minute / hosts_});
+}
+
 void GateSet::SetLeaving(const control::SteeringTable& table, base::TargetKey target,
                          bool leaving) {
   const control::TargetPlace* place = table.FindTarget(target);
@@ -85,13 +101,11 @@
   for (const table::Service& service : table.table().services) {
     const auto gate = Find(service.key);
     if (!gate) continue;
-    std::uint32_t held_here = 0;
     gate->Update([&](auto& it, base::Instant now) {
       for (const admission::SlotUsage& slots : it.Usage(now)) {
         if (slots.in_use > 0) {
           usage.in_use.push_back({slots.target, slots.work_class, slots.in_use});
         }
-        if (slots.region == own_region) held_here += slots.held;
         if (slots.work_class != base::WorkClass::kShort) continue;
         held += slots.held;
         free_slots += slots.held - slots.in_use;
@@ -108,13 +122,14 @@
         }
       }
     });
-    for (const auto& region : service.regions) {
-      if (region.region != own_region) continue;
-      // The shares of all hosts add up to the region's, as their slots do to its limit.
-      gate->SetMoveLimits({.region_limit = held_here,
-                           .cap_percent = control::kMovedHalf * region.moved_in_cap_percent,
-                           .ramp_points_per_minute =
-                               control::kMovedHalf * region.moved_in_ramp_percent_per_minute});
+    if (!own_region) continue;
+    const control::MovedPlaces places = table.MovedPlacesOf(*table.FindService(service.name));
+    const ServiceGate::MovedUse moved = gate->moved_use();
+    if (moved.in_flight > 0) {
+      usage.in_use.push_back({places.target, base::WorkClass::kShort, moved.in_flight});
+    }
+    if (moved.wanted > 0) {
+      usage.demand.push_back({*own_region, places.service, base::WorkClass::kShort, moved.wanted});
     }
   }
   usage.room_per_mille = held == 0 ? 0 : static_cast<std::uint16_t>(free_slots * 1000 / held);
--- a/src/traffic/internal/service_gate.cc
+++ b/src/traffic/internal/service_gate.cc
@@ -1,6 +1,7 @@
 // Implementation of traffic::ServiceGate.
 #include "traffic/service_gate.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "http/clock.h"
@@ -12,6 +13,11 @@
 // in the queue back within this time.
 constexpr auto kCallerCheckInterval = std::chrono::milliseconds(50);
 
+/// Callers that keep coming renew their interest with each request.
+constexpr base::Duration kMovedInterest = base::Duration::Seconds(5);
+/// Places asked for beyond those in use while callers of other regions come.
+constexpr std::uint16_t kMovedHeadroom = 2;
+
 AcquireResult Widen(const std::variant<admission::Admitted, admission::Refused>& result) {
   return std::visit([](const auto& it) { return AcquireResult(it); }, result);
 }
@@ -50,7 +56,10 @@
 
 bool ServiceGate::TryReserveMoved() {
   const std::lock_guard lock(mutex_);
-  if (moved_in_flight_ >= moved_.Allowed(moved_in_flight_, Now())) return false;
+  const base::Instant now = Now();
+  moved_wanted_until_ = now + kMovedInterest;
+  const std::uint32_t granted = now < moved_deadline_ ? moved_places_ : 0;
+  if (moved_in_flight_ >= std::min(granted, moved_.Allowed(moved_in_flight_, now))) return false;
   ++moved_in_flight_;
   return true;
 }
@@ -60,11 +69,20 @@
   --moved_in_flight_;
 }
 
-void ServiceGate::SetMoveLimits(const shift::MoveLimits& limits) {
+void ServiceGate::SetMovedPlaces(std::uint16_t places, base::Instant deadline,
+                                 const shift::MoveLimits& limits) {
   const std::lock_guard lock(mutex_);
+  moved_places_ = places;
+  moved_deadline_ = deadline;
   moved_.SetLimits(limits, Now());
 }
 
+ServiceGate::MovedUse ServiceGate::moved_use() {
+  const std::lock_guard lock(mutex_);
+  const bool is_wanted = Now() < moved_wanted_until_;
+  return {moved_in_flight_, is_wanted ? kMovedHeadroom : std::uint16_t{0}};
+}
+
 void ServiceGate::Complete(admission::Slot slot, const admission::Outcome& outcome) {
   const std::lock_guard lock(mutex_);
   const base::Instant now = Now();
--- a/src/traffic/service_gate.h
+++ b/src/traffic/service_gate.h
@@ -34,7 +34,15 @@
   /// regions; false when there is none. Every place taken must be released.
   bool TryReserveMoved();
   void ReleaseMoved();
-  void SetMoveLimits(const shift::MoveLimits& limits);
+  /// Places granted to this host until `deadline`; `limits` is the ramp of their use.
+  void SetMovedPlaces(std::uint16_t places, base::Instant deadline,
+                      const shift::MoveLimits& limits);
+  struct MovedUse {
+    std::uint16_t in_flight = 0;
+    /// Places that requests could use beyond those in flight.
+    std::uint16_t wanted = 0;
+  };
+  MovedUse moved_use();
 
   void Complete(admission::Slot slot, const admission::Outcome& outcome);
   admission::RecheckResult Recheck(admission::Slot slot);
@@ -68,7 +76,11 @@
   // All below are guarded by mutex_.
   Gate gate_;
   shift::MoveCap moved_;
-  std::uint32_t moved_in_flight_ = 0;
+  std::uint16_t moved_places_ = 0;
+  base::Instant moved_deadline_;
+  std::uint16_t moved_in_flight_ = 0;
+  /// Callers of other regions came lately; places are asked for until then.
+  base::Instant moved_wanted_until_;
   /// Threads that wait, by the gate's identifier; each entry lives on its thread's stack.
   std::unordered_map<admission::WaiterId, Waiter*> waiters_;
 };
