--- a/tests/support/load.cc
+++ b/tests/support/load.cc
@@ -140,14 +140,29 @@
         !response.headers.Find("Retry-After")) {
       ++without_retry_after_;
     }
-    if (result != CallResult::kAnswered || response.status != 200) return result;
+    if (result != CallResult::kAnswered || response.status != 200) {
+      NoteFailure(host, response.headers.Find("Mangonotch-Reason").value_or("answered"));
+      return result;
+    }
     const bool is_own = response.body.size() == static_cast<std::size_t>(size);
     return is_own ? CallResult::kAnswered : CallResult::kMismatched;
-  } catch (const base::Error&) {
+  } catch (const base::Error& ex) {
+    NoteFailure(host, ex.what());
     return CallResult::kNoAnswer;
   }
 }
 
+void Load::NoteFailure(std::size_t host, std::string_view reason) {
+  const std::lock_guard lock(mutex_);
+  if (!first_failure_.empty()) return;
+  first_failure_ = deployment_.hosts[host].name + ": " + std::string(reason);
+}
+
+std::string Load::first_failure() const {
+  const std::lock_guard lock(mutex_);
+  return first_failure_;
+}
+
 void Load::Note(CallResult result, std::size_t host) {
   ++counts_[static_cast<std::size_t>(result)];
   if (result == CallResult::kAnswered) ++answered_by_[host];
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -54,6 +55,8 @@
   std::uint64_t AnsweredBy(std::size_t host) const { return answered_by_[host]; }
   /// Answers not-run with status 503 that lack the header Retry-After.
   std::uint64_t without_retry_after() const { return without_retry_after_; }
+  /// Host and reason of the first call that was not answered; empty when there was none.
+  std::string first_failure() const;
   /// All counts, for messages of failed assertions.
   std::string Text() const;
 
@@ -66,6 +69,7 @@
   CallResult Call(std::size_t host, int size);
   http::Response Send(const std::string& address, const std::string& target,
                       const std::string& bytes);
+  void NoteFailure(std::size_t host, std::string_view reason);
   void Note(CallResult result, std::size_t host);
 
   Deployment& deployment_;
@@ -74,6 +78,8 @@
   std::array<std::atomic<std::uint64_t>, kCallResults> counts_{};
   std::vector<std::atomic<std::uint64_t>> answered_by_;
   std::atomic<std::uint64_t> without_retry_after_ = 0;
+  mutable std::mutex mutex_;
+  std::string first_failure_;  // Guarded by mutex_.
   std::vector<std::thread> threads_;
 };
 
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -32,7 +32,8 @@
   if (pid_ > 0) return;
   const int fd = open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(fd, STDOUT_FILENO);
-  dup2(fd, STDERR_FILENO);
+  // Apart, since the two streams may write within each other's lines.
+  dup2(open((log_path_ + ".err").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644), STDERR_FILENO);
   execv(args[0], args.data());
   _exit(127);
 }
@@ -42,10 +43,12 @@
 }
 
 std::string Process::Output() const {
-  std::ifstream in(log_path_);
-  std::ostringstream out;
-  out << in.rdbuf();
-  return out.str();
+  std::string text;
+  for (const char* suffix : {"", ".err"}) {
+    std::ifstream in(log_path_ + suffix);
+    text.append(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+  }
+  return text;
 }
 
 std::string Process::WaitForLine(std::string_view prefix) const {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -12,7 +12,8 @@
 
 class Process {
  public:
-  /// Starts `argv[0]` with its output appended to `log_path`. Throws base::Error when that fails.
+  /// Starts `argv[0]` with its output appended to `log_path` and its errors to `log_path`.err.
+  /// Throws base::Error when that fails.
   Process(std::span<const std::string> argv, std::string log_path);
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -28,6 +29,7 @@
 
   pid_t pid() const { return pid_; }
   const std::string& log_path() const { return log_path_; }
+  /// All output, then all errors.
   std::string Output() const;
 
  private:
