Write out the comparisons that clang 14 takes for null pointers

clang 14 reports the zero inside a defaulted operator<=> under -Wzero-as-null-pointer-constant, so table and shares did not compile for fuzz/run.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -15,7 +15,11 @@
 template <typename Tag>
 struct Position {
   std::uint32_t value = 0;
-  constexpr auto operator<=>(const Position&) const = default;
+  constexpr bool operator==(const Position&) const = default;
+  // Written out, since clang 14 takes the zero in a defaulted operator<=> for a null pointer.
+  constexpr std::strong_ordering operator<=>(const Position& other) const {
+    return value <=> other.value;
+  }
 };
 
 using ServiceIndex = Position<struct ServiceTag>;
@@ -27,7 +31,11 @@
 template <typename Tag>
 struct Key {
   std::uint64_t value = 0;
-  constexpr auto operator<=>(const Key&) const = default;
+  constexpr bool operator==(const Key&) const = default;
+  // Written out, since clang 14 takes the zero in a defaulted operator<=> for a null pointer.
+  constexpr std::strong_ordering operator<=>(const Key& other) const {
+    return value <=> other.value;
+  }
 };
 
 using ServiceKey = Key<struct ServiceKeyTag>;
--- a/src/membership/host_ref.h
+++ b/src/membership/host_ref.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <string>
+#include <tuple>
 
 #include "base/ids.h"
 
@@ -15,7 +16,12 @@
   std::string peer_address;
   base::Incarnation incarnation = 0;
 
-  auto operator<=>(const HostRef&) const = default;
+  bool operator==(const HostRef&) const = default;
+  // Written out, since clang 14 takes the zero in a defaulted operator<=> for a null pointer.
+  std::strong_ordering operator<=>(const HostRef& other) const {
+    return std::tie(host, peer_address, incarnation) <=>
+           std::tie(other.host, other.peer_address, other.incarnation);
+  }
 };
 
 }  // namespace mangonotch::membership
--- a/src/shares/ledger.h
+++ b/src/shares/ledger.h
@@ -7,11 +7,13 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/instant.h"
@@ -110,7 +112,11 @@
     base::ServiceKey service;
     base::WorkClass work_class = base::WorkClass::kShort;
 
-    auto operator<=>(const DemandKey&) const = default;
+    bool operator==(const DemandKey&) const = default;
+    // Written out, since clang 14 takes the zero in a defaulted operator<=> for a null pointer.
+    std::strong_ordering operator<=>(const DemandKey& other) const {
+      return std::tie(service, work_class) <=> std::tie(other.service, other.work_class);
+    }
   };
 
   struct Demand {
--- a/src/shares/line_key.h
+++ b/src/shares/line_key.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <compare>
 #include <cstddef>
+#include <tuple>
 
 #include "base/ids.h"
 
@@ -13,7 +14,11 @@
   base::TargetKey target;
   base::WorkClass work_class = base::WorkClass::kShort;
 
-  auto operator<=>(const LineKey&) const = default;
+  bool operator==(const LineKey&) const = default;
+  // Written out, since clang 14 takes the zero in a defaulted operator<=> for a null pointer.
+  std::strong_ordering operator<=>(const LineKey& other) const {
+    return std::tie(target, work_class) <=> std::tie(other.target, other.work_class);
+  }
 };
 
 inline constexpr std::array<base::WorkClass, base::kWorkClasses> kAllClasses = {
