--- a/src/settings/internal/host_settings.cc
+++ b/src/settings/internal/host_settings.cc
@@ -33,7 +33,7 @@
 
 std::string ReadEndpoint(Reader& reader, std::string_view field) {
   std::string text = reader.String(field);
-  if (!text.empty() && !base::ParseEndpoint(text)) {
+  if (reader.Has(field) && !base::ParseEndpoint(text)) {
     reader.Fail(field, "ip:port, such as 10.0.0.1:7000 or [2001:db8::1]:7000", '"' + text + '"');
   }
   return text;
--- a/src/settings/tests/host_settings_test.cc
+++ b/src/settings/tests/host_settings_test.cc
@@ -64,6 +64,13 @@
   REQUIRE(settings.host_list_path == "/hosts");
 }
 
+TEST_CASE("An empty address is a fault, so that a host does not stop later when it connects") {
+  std::string text = Settings(SeedText(1, "q"));
+  const std::string store = R"("store": "127.0.0.1:9003")";
+  text.replace(text.find(store), store.size(), R"("store": "")");
+  REQUIRE(FaultsOf(text).find("store: expected ip:port") != std::string::npos);
+}
+
 TEST_CASE("All faults are reported at once") {
   const std::string text = FaultsOf(R"({"host": "", "region": "r", "zone": "z",
     "listen": {"callers": "localhost:1", "peers": "127.0.0.1:1", "peer_http": "127.0.0.1:1",
