Forget the demand of a leaving host, so that it leaves no grants behind

Cause: a stopped host stayed a grantee of the record for 69 s, since its last demand (valid for some seconds) had its returned slots granted again right away.

--- a/src/control/control_thread.h
+++ b/src/control/control_thread.h
@@ -90,6 +90,7 @@
   std::vector<std::byte> send_buf_;     // Of the control thread.
   SteeringTablePtr table_;              // Of the control thread: the table that the gates have.
   std::uint64_t table_version_ = 0;     // Of the table watch: the store's version it has seen.
+  std::string awaited_;                 // Of the control thread: as last logged.
   bool is_steering_ = false;            // Of the control thread.
   std::uint64_t refused_messages_ = 0;  // Of the control thread: those counted so far.
   std::atomic<bool> has_store_answered_{true};
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -64,6 +64,8 @@
 
   /// Ends a planned stop: no request will come any more, so all slots go back.
   void Retire(base::Instant now);
+  /// True while slots are granted to this host, or its coordinator has not been told that it gave
+  /// them back.
   bool HasGrants(base::Instant now);
 
   /// Timers. `usage` must have been counted after the gates took over the grants of the last
@@ -76,6 +78,8 @@
   Effects TakeEffects(base::Instant now);
 
   bool IsCoordinator(base::Instant now) const { return lease_.IsHolder(now); }
+  /// Hosts that a new coordinator waits for before it grants anew, as "host host ...".
+  std::string AwaitedGrantees(base::Instant now) const;
   base::Epoch epoch() const { return lease_.epoch(); }
   base::Revision revision() const { return table_ ? table_->revision() : 0; }
   const SteeringTablePtr& table() const { return table_; }
--- a/src/control/internal/control_thread.inl
+++ b/src/control/internal/control_thread.inl
@@ -104,6 +104,10 @@
     logging::Log(logging::Level::kInfo, is_coordinator ? "coordinator_begins" : "coordinator_ends",
                  {{"region", settings_.controller.self.region}, {"epoch", controller.epoch()}});
   }
+  if (const std::string awaited = controller.AwaitedGrantees(http::Now()); awaited != awaited_) {
+    logging::LogChange("awaited_grantees", awaited_, awaited);
+    awaited_ = awaited;
+  }
   if (counters_.revision.exchange(controller.revision()) != controller.revision()) {
     logging::Log(logging::Level::kInfo, "table_in_force", {{"revision", controller.revision()}});
   }
--- a/src/control/internal/controller.cc
+++ b/src/control/internal/controller.cc
@@ -233,14 +233,23 @@
   }
 }
 
+std::string Controller::AwaitedGrantees(base::Instant now) const {
+  std::string names;
+  for (const membership::HostRef& it : ledger_.AwaitedGrantees(now)) {
+    names += (names.empty() ? "" : " ") + it.host;
+  }
+  return names;
+}
+
 void Controller::Retire(base::Instant now) {
   is_retired_ = true;
   OnDemand(now);
 }
 
 bool Controller::HasGrants(base::Instant now) {
-  return std::any_of(links_.begin(), links_.end(),
-                     [&](auto& it) { return !it.second.holdings.GrantsInForce(now).empty(); });
+  return std::any_of(links_.begin(), links_.end(), [&](auto& it) {
+    return it.second.has_reported_slots || !it.second.holdings.GrantsInForce(now).empty();
+  });
 }
 
 void Controller::BeginStop(base::Instant now) {
@@ -357,6 +366,7 @@
   heartbeat.marks = leaving_.Marks();
   const std::vector<shares::InUse> in_use = AddUsage(usage, heartbeat);
   link.holdings.FillHeartbeat(in_use, now, heartbeat);
+  link.has_reported_slots = !heartbeat.holdings.empty();
   const bool is_own_ledger = IsOwnRegion(link.region) && lease_.IsHolder(now);
   if (is_own_ledger) {
     AnswerHeartbeat(heartbeat, now);
--- a/src/control/region_link.h
+++ b/src/control/region_link.h
@@ -20,6 +20,8 @@
   base::Epoch coordinator_epoch = 0;
   base::Instant coordinator_until;
   base::Instant next_heartbeat;
+  /// The last heartbeat reported slots as held.
+  bool has_reported_slots = false;
   /// No heartbeat is sent before, however urgent: bounds the messages of a burst of waiting
   /// requests.
   base::Instant not_before;
--- a/src/shares/internal/ledger.cc
+++ b/src/shares/internal/ledger.cc
@@ -185,6 +185,10 @@
 }
 
 void Ledger::ReportDemand(Host& host, const Heartbeat& heartbeat, base::Instant now) {
+  if (host.info.leaving) {
+    // Its demand ends with its requests. Slots granted for an old demand would outlive the host.
+    for (auto& [key, demand] : host.demand) demand.wanted = 0;
+  }
   for (const DemandLine& it : heartbeat.demand) {
     Demand& demand = host.demand[{it.service, it.work_class}];
     demand.wanted = it.wanted;
--- a/src/shares/ledger.h
+++ b/src/shares/ledger.h
@@ -80,6 +80,11 @@
   std::vector<membership::HostRef> WantedGrantees(base::Instant now) const;
 
   bool IsRecovering(base::Instant now) const;
+  /// Grantees of the record that was taken over which may still hold slots they have not reported.
+  std::span<const membership::HostRef> AwaitedGrantees(base::Instant now) const {
+    return IsRecovering(now) ? std::span<const membership::HostRef>(unsettled_)
+                             : std::span<const membership::HostRef>();
+  }
   std::vector<ServiceUse> Uses() const;
 
  private:
--- a/src/traffic/internal/link_budgets.cc
+++ b/src/traffic/internal/link_budgets.cc
@@ -49,8 +49,9 @@
     if (budgets == nullptr) return true;
     const base::Instant now = http::Now();
     // Reserving nothing tells when the debt is paid.
-    if (std::max(budgets->in.Reserve(0, now), budgets->out.Reserve(0, now)) > deadline)
-      return false;
+    const base::Instant paid_at =
+        std::max(budgets->in.Reserve(0, now), budgets->out.Reserve(0, now));
+    if (paid_at > deadline) return false;
     at = std::max(budgets->in.Reserve(0, now), budgets->out.Reserve(bytes, now));
   }
   const base::Instant now = http::Now();
