Class requests by the table's classifier alone

The traffic module had a second, weaker reading of routes: it gave a route's idempotent methods to paths that a target may resolve to another one.

--- a/src/control/internal/steering_table.cc
+++ b/src/control/internal/steering_table.cc
@@ -91,6 +91,7 @@
 SteeringTable::SteeringTable(table::Table table, std::string text)
     : table_(std::make_shared<const table::Table>(std::move(table))),
       text_(std::move(text)),
+      classifier_(*table_),
       clients_(ClientBlocks(*table_)) {
   for (const table::Service& service : table_->services) {
     PrepareTargets(service);
@@ -161,8 +162,7 @@
 }
 
 std::optional<base::ServiceIndex> SteeringTable::FindService(std::string_view name) const {
-  const auto n = FindByName(table_->services, name);
-  return n ? std::optional(base::ServiceIndex{*n}) : std::nullopt;
+  return classifier_.FindService(name);
 }
 
 std::optional<base::RegionIndex> SteeringTable::FindRegion(std::string_view name) const {
--- a/src/control/steering_table.h
+++ b/src/control/steering_table.h
@@ -13,6 +13,7 @@
 
 #include "admission/types.h"
 #include "base/ids.h"
+#include "table/request_classifier.h"
 #include "table/table.h"
 #include "topology/client_map.h"
 
@@ -79,6 +80,7 @@
   }
   /// The service whose places for moved work `target` stands for, if any.
   std::optional<base::ServiceIndex> FindMovedPlaces(base::TargetKey target) const;
+  const table::RequestClassifier& classifier() const { return classifier_; }
   const topology::ClientMap& clients() const { return clients_; }
   std::span<const base::TargetKey> target_keys() const { return target_keys_; }
 
@@ -88,6 +90,7 @@
 
   std::shared_ptr<const table::Table> table_;  // Never null.
   std::string text_;
+  table::RequestClassifier classifier_;
   topology::ClientMap clients_;
   std::vector<std::vector<admission::Target>> targets_;
   /// By service, then home region.
--- a/src/traffic/internal/request_plan.cc
+++ b/src/traffic/internal/request_plan.cc
@@ -2,7 +2,6 @@
 #include "traffic/request_plan.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <optional>
 
@@ -12,33 +11,6 @@
 namespace {
 
 constexpr std::string_view kServicePrefix = "/s/";
-constexpr std::array<std::string_view, 5> kIdempotentMethods = {"GET", "HEAD", "OPTIONS", "PUT",
-                                                                "DELETE"};
-
-/// True when `path` starts with `prefix` at the border of a segment.
-bool HasPathPrefix(std::string_view path, std::string_view prefix) {
-  if (!path.starts_with(prefix)) return false;
-  return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/';
-}
-
-const table::Route* FindRoute(const table::Service& service, std::string_view path) {
-  const table::Route* best = nullptr;
-  for (const table::Route& it : service.routes) {
-    if (!HasPathPrefix(path, it.prefix)) continue;
-    if (best == nullptr || it.prefix.size() > best->prefix.size()) best = &it;
-  }
-  return best;
-}
-
-bool IsIdempotent(const table::Route* route, std::string_view method) {
-  if (std::find(kIdempotentMethods.begin(), kIdempotentMethods.end(), method) !=
-      kIdempotentMethods.end()) {
-    return true;
-  }
-  if (route == nullptr) return false;
-  const auto& methods = route->idempotent_methods;
-  return std::find(methods.begin(), methods.end(), method) != methods.end();
-}
 
 /// Time allowed in milliseconds, at most `longest`; empty for a header that is not a positive
 /// number.
@@ -71,20 +43,18 @@
 
   const std::string_view path =
       slash == std::string_view::npos ? std::string_view("/") : rest.substr(slash);
-  const table::Service& entry = table.ServiceAt(*service);
-  const table::Route* route = FindRoute(entry, path);
-
   RequestPlan plan;
+  // Encoded again, so that the classifier sees what a target might read in another way.
+  plan.target_path = http::EncodePath(path);
+  const table::RequestProfile kind =
+      table.classifier().Classify(*service, request.method, plan.target_path);
   plan.service = *service;
-  plan.work_class = route == nullptr ? base::WorkClass::kShort : route->work_class;
-  plan.is_idempotent = IsIdempotent(route, request.method);
+  plan.work_class = kind.work_class;
+  plan.is_idempotent = kind.is_idempotent;
   plan.home = LocateCaller(table, request.peer, fallback).region;
-  const std::int64_t longest =
-      plan.work_class == base::WorkClass::kShort ? entry.short_deadline_ms : entry.long_deadline_ms;
-  const auto allowed = AllowedMs(request, longest);
+  const auto allowed = AllowedMs(request, kind.deadline_ms);
   if (!allowed) return Served::Refused(Outcome::kNotRun, RefusalReason::kBadRequest, 400);
   plan.deadline = now + base::Duration::Milliseconds(*allowed);
-  plan.target_path = http::EncodePath(path);
   if (!request.query.empty()) plan.target_path += "?" + std::string(request.query);
   return plan;
 }
