--- a/src/app/internal/entry_host.cc
+++ b/src/app/internal/entry_host.cc
@@ -9,6 +9,7 @@
 #include <random>
 #include <thread>
 
+#include "app/internal/host_reporter.h"
 #include "control/control_thread.h"
 #include "http/server.h"
 #include "metrics/exposer.h"
@@ -23,6 +24,7 @@
 
 constexpr base::Duration kTicketLifetime = base::Duration::Seconds(15);
 constexpr base::Duration kExpirePause = base::Duration::Seconds(1);
+constexpr base::Duration kReportPause = base::Duration::Seconds(1);
 /// Until all hosts leave a stopping host out of new look-ups: its heartbeat, the next summary of
 /// its coordinator (1 s) and the next snapshot (0.5 s).
 constexpr base::Duration kLeavingSpread = base::Duration::Seconds(2);
@@ -109,7 +111,9 @@
         peers_(Listen(settings.listen.peer_http, LimitsOf(settings),
                       [this](const auto& it) { return callers_api_.Handle(it, true); })),
         admin_(Listen(settings.listen.admin, {.threads = 4},
-                      [this](const auto& it) { return admin_api_.Handle(it); })) {}
+                      [this](const auto& it) { return admin_api_.Handle(it); })),
+        reporter_(registry_, snapshots_, control_counters_, gates_),
+        report_(kReportPause, [this] { reporter_.Report(*callers_, *peers_); }) {}
 
   ~Impl() { store_.Cancel(); }
 
@@ -163,6 +167,8 @@
   std::unique_ptr<http::Server> callers_;
   std::unique_ptr<http::Server> peers_;
   std::unique_ptr<http::Server> admin_;
+  HostReporter reporter_;
+  control::Periodic report_;  // Uses the servers and the reporter.
 };
 
 EntryHost::EntryHost(const settings::HostSettings& settings)
