Start the control thread's workers before the thread that posts to them

Found by reading: the control thread was constructed, and ran, before the workers it hands store calls to, so an early call could meet a worker that did not exist yet. A table watch that returns at once without a change no longer leads to the next one without a pause.

--- a/src/control/control_thread.h
+++ b/src/control/control_thread.h
@@ -99,10 +99,11 @@
   std::mutex mutex_;
   std::vector<Event> events_;  // Guarded by mutex_.
   http::Client health_client_;
-  std::thread thread_;
-  // Last members: their threads use the others.
+  // Before thread_, which posts to them from its start.
   Worker record_worker_;
   Worker pull_worker_;
+  std::thread thread_;
+  // Last members: their threads use the others.
   Periodic table_watch_;
   Periodic host_list_poll_;
   Periodic health_poll_;
--- a/src/control/internal/control_thread.inl
+++ b/src/control/internal/control_thread.inl
@@ -5,16 +5,19 @@
 
 #include "logging/log.h"
 
-
 namespace mangonotch::control {
 
 inline constexpr std::string_view kTableKey = "table";
 /// The control thread looks at its timers at least this often.
 inline constexpr base::Duration kControlPeriod = base::Duration::Milliseconds(100);
-/// Long poll of the table, and the pause before a host that is no coordinator looks whether it has become one.
+/// Long poll of the table.
 inline constexpr base::Duration kWatchTime = base::Duration::Seconds(10);
+/// A poll that ends sooner without a change did not wait at the store, so the next one waits here.
+inline constexpr base::Duration kShortWatch = base::Duration::Seconds(1);
 /// The store answers in milliseconds; a call that takes this long meets an outage.
 inline constexpr base::Duration kStoreTime = base::Duration::Seconds(1);
+/// Pause before a host that is no coordinator looks whether it has become one, and after a call
+/// that failed.
 inline constexpr base::Duration kWatchPause = base::Duration::Milliseconds(250);
 inline constexpr base::Duration kHostListPause = base::Duration::Seconds(1);
 inline constexpr base::Duration kHealthPause = base::Duration::Seconds(1);
@@ -236,8 +239,8 @@
 void ControlThread<S, G>::Pull(const PullTable& pull) {
   pull_worker_.Post([this, pull] {
     try {
-      const wire::TableText table = wire::PullTable(wire::SocketAddress::Parse(pull.peer_address),
-                                                    http::Now() + kPullTime);
+      const wire::TableText table =
+          wire::PullTable(wire::SocketAddress::Parse(pull.peer_address), http::Now() + kPullTime);
       if (table.revision > counters_.revision) {
         Offer(publication::Source::kPeer, table.text, pull.peer_address);
       }
@@ -263,8 +266,8 @@
   }
 }
 
-// While this host is the coordinator one long poll follows the other without a pause: a table that is accepted while
-// nobody watches would be known to the store alone.
+// While this host is the coordinator one long poll follows the other without a pause: a table that
+// is accepted while nobody watches would be known to the store alone.
 template <store::Store S, GatePort G>
 void ControlThread<S, G>::WatchTable() {
   while (WatchTableOnce()) {
@@ -279,13 +282,16 @@
   const bool is_first = counters_.revision == 0 && table_version_ == 0;
   if (!is_first && !IsCoordinator()) return false;
   counters_.store_reads.Add();
+  const base::Instant asked_at = http::Now();
   const store::ReadResult result =
       is_first ? store_.Get(kTableKey, http::Now() + kStoreTime)
                : store_.Watch(kTableKey, table_version_, http::Now() + kWatchTime);
   if (result.status == store::ReadStatus::kNotFound) {
     Post([](Controller& it, base::Instant) { it.OnEmptyStore(); });
   }
-  if (result.status == store::ReadStatus::kUnchanged) return true;
+  if (result.status == store::ReadStatus::kUnchanged) {
+    return http::Now() - asked_at >= kShortWatch;
+  }
   if (result.status != store::ReadStatus::kOk) return false;
   table_version_ = result.version;
   Offer(publication::Source::kStore, result.value, "store");
@@ -321,10 +327,10 @@
     if (place.region != region) continue;
     const base::Instant asked_at = http::Now();
     try {
-      const http::Response response = health_client_.Execute(
-          http::Endpoint::Parse(place.address),
-          {.method = "GET", .target = "/health", .headers = {}, .body = {}},
-          asked_at + kHealthTime);
+      const http::Response response =
+          health_client_.Execute(http::Endpoint::Parse(place.address),
+                                 {.method = "GET", .target = "/health", .headers = {}, .body = {}},
+                                 asked_at + kHealthTime);
       const bool is_leaving = response.headers.Find("Draining").has_value();
       Post([=](Controller& it, base::Instant now) {
         it.OnHealth({target, is_leaving, asked_at}, now);
