Call the table's own search for a service's region, and parse a ticket once

steering_table and gate_set had written table::FindServiceRegion again; a ticketed request was parsed a second time and carried an unused parameter; a reserve on a heartbeat's demand served nothing. Behaviour is unchanged: control and traffic tests, e2e_whole_path_test, e2e_region_test, formatter, include rule and the linter on the changed units pass.

--- a/src/control/internal/controller_messages.cc
+++ b/src/control/internal/controller_messages.cc
@@ -156,7 +156,6 @@
   std::vector<shares::InUse> in_use;
   const auto region = table_ ? table_->FindRegion(heartbeat.region) : std::nullopt;
   if (!region) return in_use;
-  heartbeat.demand.reserve(is_retired_ ? 0 : usage.demand.size());
   for (const shares::InUse& it : usage.in_use) {
     const TargetPlace* place = table_->FindTarget(it.target);
     const bool is_of_region =
--- a/src/control/internal/steering_table.cc
+++ b/src/control/internal/steering_table.cc
@@ -5,6 +5,8 @@
 #include <array>
 #include <tuple>
 
+#include "table/room.h"
+
 namespace mangonotch::control {
 namespace {
 
@@ -18,14 +20,8 @@
   return static_cast<std::uint32_t>(it - items.begin());
 }
 
-const table::ServiceRegion* RegionEntry(const table::Service& service, base::RegionIndex region) {
-  const auto it = std::find_if(service.regions.begin(), service.regions.end(),
-                               [&](const auto& entry) { return entry.region == region; });
-  return it == service.regions.end() ? nullptr : &*it;
-}
-
 std::uint32_t RegionWeight(const table::Service& service, base::RegionIndex region) {
-  const auto* entry = RegionEntry(service, region);
+  const auto* entry = table::FindServiceRegion(service, region);
   return entry == nullptr ? 0 : entry->weight;
 }
 
--- a/src/traffic/caller_api.h
+++ b/src/traffic/caller_api.h
@@ -37,8 +37,8 @@
                             bool is_forwarded);
   http::Response Serve(const control::Snapshot& snapshot, const http::Request& request,
                        bool is_forwarded);
-  Served ServeTicketed(const control::Snapshot& snapshot, const RequestPlan& plan,
-                       const http::Request& request, bool is_forwarded);
+  Served ServeTicketed(const control::SteeringTable& table, const RequestPlan& plan,
+                       const http::Request& request, const ticket::Ticket& ticket);
   Served RunTicket(const control::SteeringTable& table, const RequestPlan& plan,
                    const http::Request& request, ticket::RunHandle run);
   /// Passes the request on to the host that issued its ticket, which alone may run it.
--- a/src/traffic/internal/caller_api.cc
+++ b/src/traffic/internal/caller_api.cc
@@ -188,14 +188,11 @@
   if (ticket->host != settings_.self.host && !is_forwarded) {
     return Forward(snapshot, request, ticket->host, plan.deadline + kForwardMargin);
   }
-  return ToResponse(ServeTicketed(snapshot, plan, request, is_forwarded));
+  return ToResponse(ServeTicketed(*snapshot.table, plan, request, *ticket));
 }
 
-Served CallerApi::ServeTicketed(const control::Snapshot& snapshot, const RequestPlan& plan,
-                                const http::Request& request, bool /*is_forwarded*/) {
-  const control::SteeringTable& table = *snapshot.table;
-  const auto parsed = ticket::Parse(*request.Header(kTicketHeader));
-  const auto& ticket = std::get<ticket::Ticket>(parsed);
+Served CallerApi::ServeTicketed(const control::SteeringTable& table, const RequestPlan& plan,
+                                const http::Request& request, const ticket::Ticket& ticket) {
   const TicketDesk::Entry entry = tickets_.Begin(ticket,
                                                  {.service = table.ServiceAt(plan.service).name,
                                                   .method = request.method,
--- a/src/traffic/internal/gate_set.cc
+++ b/src/traffic/internal/gate_set.cc
@@ -1,7 +1,7 @@
 // Implementation of traffic::GateSet.
 #include "traffic/gate_set.h"
 
-#include <algorithm>
+#include "table/room.h"
 
 namespace mangonotch::traffic {
 
@@ -59,9 +59,9 @@
   const table::Service& service = table.ServiceAt(index);
   const auto gate = Find(service.key);
   const auto own_region = table.FindRegion(region_);
-  const auto it = std::find_if(service.regions.begin(), service.regions.end(),
-                               [&](const auto& entry) { return entry.region == own_region; });
-  if (!gate || it == service.regions.end()) return;
+  if (!gate || !own_region) return;
+  const table::ServiceRegion* it = table::FindServiceRegion(service, *own_region);
+  if (it == nullptr) return;
   gate->SetMovedPlaces(grant.slots, grant.deadline,
                        {.region_limit = it->limit,
                         .cap_percent = 100,
