Keep requests on the targets that hold their object

Ranks by weighted rendezvous, local targets first; targets beyond the first four take a request only while half of their slots are free.

--- a/src/steering/exchange.h
+++ b/src/steering/exchange.h
@@ -19,6 +19,8 @@
   AttemptNumber number = 0;
   std::shared_ptr<TargetState> target{};
   base::Instant sent_at{};
+  /// Position of the target by affinity.
+  std::uint32_t rank = 0;
   /// The target had a free slot, as far as known.
   bool had_free_slot = false;
   /// Neither an outcome came nor was the attempt cancelled.
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -16,6 +16,8 @@
 inline constexpr base::Duration kLeastHedgeDelay = base::Duration::Milliseconds(60);
 /// Part of the latency objective that a request may wait here for a slot.
 inline constexpr std::int64_t kWaitDivisor = 3;
+/// Targets up to this rank tell the usual service time: they hold the objects they are asked for.
+inline constexpr std::uint32_t kMostUsualRank = 1;
 inline constexpr base::Duration kLeastRetryAfter = base::Duration::Milliseconds(50);
 
 constexpr RepeatReason ReasonOf(AttemptResult failure) {
@@ -169,6 +171,7 @@
   exchange.attempts.push_back({.number = number,
                                .target = targets_.at(target.record().id),
                                .sent_at = now,
+                               .rank = choice.rank,
                                .had_free_slot = target.Load(now) < target.slots()});
   target.OnSent(now);
   base::Instant timer = exchange.deadline + kAnswerSlack;
@@ -200,7 +203,9 @@
   if (!ProvesNotRun(outcome.result)) exchange.may_have_run = true;
   ServiceState& service = *exchange.service;
   if (outcome.result == AttemptResult::kAnswered) {
-    if (attempt->had_free_slot) service.ObserveServiceTime(elapsed);
+    if (attempt->had_free_slot && attempt->rank <= kMostUsualRank) {
+      service.ObserveServiceTime(elapsed);
+    }
     Finish(exchange, number, now);
   } else if (exchange.is_caller_gone) {
     Forget(exchange);
--- a/src/steering/internal/placement.cc
+++ b/src/steering/internal/placement.cc
@@ -2,6 +2,7 @@
 #include "steering/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 #include <utility>
@@ -18,8 +19,8 @@
 /// Bounds of a target's slowness relative to its service.
 constexpr double kLeastSlowness = 0.5;
 constexpr double kMostSlowness = 20;
-/// Probability that a target of the next rank holds the object, relative to the one before.
-constexpr double kWarmthPerRank = 0.5;
+/// How likely the target of each rank holds the object; those behind hold it by chance only.
+constexpr std::array<double, 6> kWarmthOfRank = {1, 0.95, 0.85, 0.7, 0.3, 0.1};
 
 double Ms(base::Duration d) { return d.seconds() * 1e3; }
 
@@ -28,20 +29,22 @@
 }
 
 /// Weighted rendezvous: the share of keys for which a target scores highest is its share of slots.
-double RendezvousScore(std::uint64_t key, const TargetState& target) {
+double RendezvousScore(std::uint64_t key, const TargetState& target, double weight) {
   const std::uint64_t h = base::Mix(key ^ target.key());
   const double unit = (static_cast<double>(h >> 11) + 0.5) * 0x1.0p-53;
-  return -std::log(unit) / std::max(target.slots(), 1U);
+  return -std::log(unit) / (std::max(target.slots(), 1U) * weight);
 }
 
 }  // namespace
 
-std::vector<std::uint32_t> AffinityRanks(std::uint64_t key,
+std::vector<std::uint32_t> AffinityRanks(std::uint64_t key, std::string_view local_region,
+                                         double local_weight,
                                          std::span<TargetState* const> candidates) {
   std::vector<std::pair<double, std::uint32_t>> order;
   order.reserve(candidates.size());
   for (std::uint32_t i = 0; i < candidates.size(); ++i) {
-    order.emplace_back(RendezvousScore(key, *candidates[i]), i);
+    const double weight = candidates[i]->region() == local_region ? local_weight : 1;
+    order.emplace_back(RendezvousScore(key, *candidates[i], weight), i);
   }
   std::sort(order.begin(), order.end());
   std::vector<std::uint32_t> ranks(candidates.size());
@@ -49,8 +52,11 @@
   return ranks;
 }
 
-bool Placement::IsFull(const TargetState& target, base::Instant now) const {
-  return target.Load(now) >= target.slots() * (1 + settings_.queue_per_slot);
+bool Placement::IsFull(const TargetState& target, std::uint32_t rank,
+                       const PlacementQuery& query) const {
+  const bool holds_object = query.affinity_key == 0 || rank < settings_.home_ranks;
+  const double most = holds_object ? 1 + settings_.queue_per_slot : settings_.foreign_share;
+  return target.Load(query.now) >= target.slots() * most;
 }
 
 base::Duration Placement::Estimate(const TargetState& target, std::uint32_t rank,
@@ -61,12 +67,11 @@
     slowness = std::clamp(Ms(*own) / usual, kLeastSlowness, kMostSlowness);
   }
   const bool is_local = target.region() == query.local_region;
-  const double distance =
-      is_local ? Ms(settings_.local_round_trip)
-               : Ms(settings_.remote_round_trip) + Ms(settings_.remote_penalty);
-  const double warmth = query.affinity_key == 0 ? 0 : std::pow(kWarmthPerRank, rank);
-  const double service =
-      usual * slowness * (1 + (settings_.cold_cache_factor - 1) * (1 - warmth));
+  const double distance = is_local ? Ms(settings_.local_round_trip)
+                                   : Ms(settings_.remote_round_trip) + Ms(settings_.remote_penalty);
+  const double warmth = rank < kWarmthOfRank.size() ? kWarmthOfRank[rank] : 0;
+  const double missing = query.affinity_key == 0 ? 0 : 1 - warmth;
+  const double service = usual * slowness * (1 + (settings_.cold_cache_factor - 1) * missing);
   const double slots = std::max(target.slots(), 1U);
   const double load = target.Load(query.now);
   // Work ahead of the request, spread over the slots; a part counts before all slots are taken,
@@ -81,13 +86,15 @@
 std::optional<Choice> Placement::Choose(std::span<TargetState* const> candidates,
                                         const PlacementQuery& query) const {
   std::optional<Choice> best;
-  const std::vector<std::uint32_t> ranks = AffinityRanks(query.affinity_key, candidates);
+  const std::vector<std::uint32_t> ranks =
+      AffinityRanks(query.affinity_key, query.local_region, settings_.local_weight, candidates);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const Choice choice{.target = candidates[i],
                         .estimate = Estimate(*candidates[i], ranks[i], query),
-                        .is_full = IsFull(*candidates[i], query.now)};
-    if (!best || std::pair(choice.is_full, choice.estimate) <
-                     std::pair(best->is_full, best->estimate)) {
+                        .rank = ranks[i],
+                        .is_full = IsFull(*candidates[i], ranks[i], query)};
+    if (!best ||
+        std::pair(choice.is_full, choice.estimate) < std::pair(best->is_full, best->estimate)) {
       best = choice;
     }
   }
--- a/src/steering/placement.h
+++ b/src/steering/placement.h
@@ -19,8 +19,16 @@
   base::Duration remote_round_trip = base::Duration::Milliseconds(50);
   /// Added for another region: what the link's use is worth beyond the round trip.
   base::Duration remote_penalty;
-  /// Time that a target without the object in its cache takes, relative to one that has it.
-  double cold_cache_factor = 3;
+  /// Cost of a request at a target without the object in its cache, relative to one that has it:
+  /// its own time, and the time that others wait for the slot it holds longer.
+  double cold_cache_factor = 6;
+  /// Weight of the local region's slots in the order of affinity, relative to other regions'.
+  double local_weight = 10;
+  /// Targets of these ranks, from 0, are expected to hold an object.
+  std::uint32_t home_ranks = 4;
+  /// Other targets take a request only while less than this share of their slots is taken: it runs
+  /// long there and drives out objects that others need.
+  double foreign_share = 0.5;
   /// Requests that may wait at a target for each of its slots.
   double queue_per_slot = 1;
 };
@@ -38,13 +46,16 @@
   TargetState* target = nullptr;
   /// Time from now to the answer.
   base::Duration estimate{};
+  /// Position by affinity, 0 first.
+  std::uint32_t rank = 0;
   /// The target has neither a free slot nor a free place in its queue.
   bool is_full = false;
 };
 
-/// Rank of the candidates by affinity: the position of each in an order that depends on the key
-/// and the targets' identifiers and slots alone, so that all hosts agree.
-std::vector<std::uint32_t> AffinityRanks(std::uint64_t key,
+/// Rank of the candidates by affinity: the position of each in an order that depends on the key,
+/// the region and the targets' identifiers and slots alone, so that all hosts of a region agree.
+std::vector<std::uint32_t> AffinityRanks(std::uint64_t key, std::string_view local_region,
+                                         double local_weight,
                                          std::span<TargetState* const> candidates);
 
 class Placement {
@@ -58,7 +69,7 @@
  private:
   base::Duration Estimate(const TargetState& target, std::uint32_t rank,
                           const PlacementQuery& query) const;
-  bool IsFull(const TargetState& target, base::Instant now) const;
+  bool IsFull(const TargetState& target, std::uint32_t rank, const PlacementQuery& query) const;
 
   PlacementSettings settings_;
 };
