--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -45,7 +45,7 @@
 constexpr Duration kLookupTtl = Duration::Seconds(2);
 constexpr std::size_t kMostLookupHosts = 64;
 /// A stopping host serves as before for this time: callers keep looked-up addresses that long.
-constexpr Duration kServeOnTime = Duration::Milliseconds(2300);
+constexpr Duration kServeOnTime = Duration::Milliseconds(2800);
 /// Earliest end of a stopping host.
 constexpr Duration kLeastStopTime = Duration::Milliseconds(3800);
 /// Left of the platform's time for a stop when the host ends with requests under way.
--- a/src/http1/internal/server.inl
+++ b/src/http1/internal/server.inl
@@ -83,15 +83,29 @@
   connection.Reply(id, response);
 }
 
+template <typename Handler>
+void Server<Handler>::StartDraining() {
+  if (std::exchange(is_draining_, true)) return;
+  boost::system::error_code ec;
+  acceptor_.close(ec);  // The process ends shortly after; a failure changes nothing.
+  accept_timer_.cancel();
+  CheckConnections();
+}
+
 template <typename Handler>
 void Server<Handler>::Sweep() {
-  const base::Instant now = Now();
-  const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
-  for (const auto& it : all) it->CheckTime(now);
+  CheckConnections();
   sweep_timer_.expires_after(ToChrono(kSweepInterval));
   sweep_timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) Sweep();
   });
 }
 
+template <typename Handler>
+void Server<Handler>::CheckConnections() {
+  const base::Instant now = Now();
+  const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
+  for (const auto& it : all) it->CheckTime(now);
+}
+
 }  // namespace mangonotch::http1
--- a/src/http1/internal/server_connection.inl
+++ b/src/http1/internal/server_connection.inl
@@ -16,8 +16,6 @@
 /// After the last answer, what the caller still sends is read and thrown away for this time, so
 /// that its kernel does not discard the answer on a reset.
 inline constexpr base::Duration kLingerTime = base::Duration::Milliseconds(500);
-/// A draining server closes connections that have been idle for this time.
-inline constexpr base::Duration kDrainIdle = base::Duration::Milliseconds(1500);
 
 template <typename Handler>
 void ServerConnection<Handler>::Start() {
@@ -205,9 +203,8 @@
     if (is_late && slots_.empty()) Reject(408);
     return;
   }
-  const base::Duration idle_time =
-      server_->is_draining_ ? std::min(kDrainIdle, limits.idle_time) : limits.idle_time;
-  if (slots_.empty() && !is_writing_ && quiet > idle_time) Close();
+  if (!slots_.empty() || is_writing_) return;
+  if (server_->is_draining_ || quiet > limits.idle_time) Close();
 }
 
 template <typename Handler>
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -63,9 +63,9 @@
   /// Answers the request; ignored when its caller is gone.
   void Reply(RequestId id, const Response& response);
 
-  /// Each further answer closes its connection, and connections close as they fall idle for
-  /// `kDrainIdle`.
-  void StartDraining() { is_draining_ = true; }
+  /// Each further answer closes its connection, idle connections close, and no new one is
+  /// accepted.
+  void StartDraining();
   std::size_t connections() const { return connections_.size(); }
   std::size_t pending_requests() const { return pending_.size(); }
   const ServerCounts& counts() const { return counts_; }
@@ -77,8 +77,9 @@
 
   void Accept();
   void OnAccept(boost::system::error_code ec, boost::asio::ip::tcp::socket socket);
-  /// Checks the time limits of all connections.
+  /// Checks the time limits of all connections, again and again.
   void Sweep();
+  void CheckConnections();
 
   boost::asio::io_context& context_;
   Handler& handler_;
