Watch the store from two hosts a region; others fetch changes from them

Watchers are the first live hosts by hash of name, more while some cannot reach the store; heartbeats name the catalog's sequence and slow down with the number of hosts and between regions.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -42,6 +42,8 @@
                                              .interval = Duration::Milliseconds(900)};
 constexpr platform::FeedPace kOrdersPace = {.wait = Duration::Milliseconds(4000),
                                             .interval = Duration::Milliseconds(50)};
+/// A host that starts may hear of the others within this time.
+constexpr Duration kHearingTime = Duration::Milliseconds(1500);
 constexpr Duration kLookupTtl = Duration::Seconds(2);
 constexpr std::size_t kMostLookupHosts = 64;
 /// A stopping host serves as before for this time: callers keep looked-up addresses that long.
@@ -122,6 +124,9 @@
   peering::Gossip::Callbacks GossipCallbacks();
   void PublishCatalog();
   void ExchangeLoads();
+  /// Starts or stops the watches of the store.
+  void ChooseWatchers();
+  bool HasFreshCatalog() const { return targets_feed_.is_fresh() && orders_feed_.is_fresh(); }
   void WaitForSignal();
   void Reload();
   void Stop();
@@ -157,6 +162,7 @@
   bool has_targets_ = false;
   bool is_leaving_ = false;
   base::Instant leaving_since_;
+  const base::Instant started_at_ = http1::Now();
 };
 
 EdgeHost::Control::Control(const settings::EdgeSettings& settings, std::string settings_path,
@@ -195,8 +201,6 @@
   const base::Instant now = http1::Now();
   for (const base::Endpoint& it : PeersOfSeeds(settings_)) members_.AddContact(it, now);
   WaitForSignal();
-  targets_feed_.Start();
-  orders_feed_.Start();
   host_entry_.Start();
   gossip_.Start();
   FlushLog();
@@ -210,15 +214,29 @@
   return {.describe =
               [this](fleet::Heartbeat& heartbeat) {
                 heartbeat.is_leaving = is_leaving_;
+                heartbeat.watches_store = targets_feed_.is_active();
+                heartbeat.has_fresh_catalog = HasFreshCatalog();
                 heartbeat.loads = own_loads_;
               },
-          .on_interval = [this] { ExchangeLoads(); },
-          .on_merged = [this] { PublishCatalog(); },
-          .reads_store =
+          .on_interval =
               [this] {
-                return has_configuration_ && has_targets_ && !targets_sink_.is_lost() &&
-                       !orders_sink_.is_lost();
-              }};
+                ExchangeLoads();
+                ChooseWatchers();
+              },
+          .on_merged = [this] { PublishCatalog(); },
+          .has_fresh_catalog = [this] { return HasFreshCatalog(); }};
+}
+
+void EdgeHost::Control::ChooseWatchers() {
+  const base::Instant now = http1::Now();
+  // A host that has just started has not heard of the others yet.
+  const bool is_new = now < started_at_ + kHearingTime;
+  const bool watches = (is_new && !has_configuration_) || members_.ShouldWatchStore(now);
+  if (watches != targets_feed_.is_active()) {
+    logging::Log(Level::kInfo, "watches_store", {{"watches", watches}});
+  }
+  targets_feed_.SetActive(watches);
+  orders_feed_.SetActive(watches);
 }
 
 void EdgeHost::Control::PublishCatalog() {
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -2,10 +2,17 @@
 #include "discovery/registry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
 namespace mangonotch::discovery {
+namespace {
+
+/// Removals kept to tell other hosts; a host further behind gets a full copy.
+constexpr std::size_t kMostRemovals = 512;
+
+}  // namespace
 
 void Registry::PutTarget(const catalog::Target& target, StoreRevision revision) {
   const auto [it, is_new] = targets_.try_emplace(target.id);
@@ -16,8 +23,20 @@
   if (!is_new && entry.target.started_at_ms == target.started_at_ms) {
     next.cold_until = std::max(next.cold_until, entry.target.cold_until);
   }
-  has_changed_ = has_changed_ || is_new || !(entry.target == next);
-  entry = {.target = std::move(next), .revision = revision};
+  const bool has_changed = is_new || !(entry.target == next);
+  if (has_changed) entry.sequence = ++sequence_;
+  entry.target = std::move(next);
+  entry.revision = revision;
+  entry.keep_until = base::Instant::Never();
+}
+
+Registry::Entries::iterator Registry::Erase(Entries::iterator it, StoreRevision revision) {
+  removals_.emplace_back(++sequence_, TargetRemoval{.id = it->first, .revision = revision});
+  if (removals_.size() > kMostRemovals) {
+    forgotten_sequence_ = removals_.front().first;
+    removals_.pop_front();
+  }
+  return targets_.erase(it);
 }
 
 void Registry::RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now) {
@@ -30,8 +49,7 @@
     it->second.keep_until = outage_end_ + recovery_time_;
     return;
   }
-  targets_.erase(it);
-  has_changed_ = true;
+  Erase(it, revision);
 }
 
 void Registry::PutConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
@@ -41,7 +59,7 @@
                                           configuration->version > configuration_->version);
   if (!is_newer) return;
   configuration_ = std::move(configuration);
-  has_changed_ = true;
+  orders_sequence_ = ++sequence_;
 }
 
 void Registry::PutEvacuation(std::string_view zone, bool is_evacuated, StoreRevision revision,
@@ -61,7 +79,7 @@
 void Registry::SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now) {
   const bool was_evacuated = evacuated_zones_.contains(zone);
   if (was_evacuated == is_evacuated) return;
-  has_changed_ = true;
+  orders_sequence_ = ++sequence_;
   if (is_evacuated) {
     evacuated_zones_.emplace(zone);
     return;
@@ -72,6 +90,7 @@
     if (entry.target.zone != zone) continue;
     const base::Instant cold_until = now + ColdTimeOf(entry.target.service);
     entry.target.cold_until = std::max(entry.target.cold_until, cold_until);
+    entry.sequence = ++sequence_;
   }
 }
 
@@ -90,7 +109,6 @@
   for (const catalog::Target& it : targets) {
     listed.insert(it.id);
     PutTarget(it, revision);
-    targets_.find(it.id)->second.keep_until = base::Instant::Never();
   }
   for (auto it = targets_.begin(); it != targets_.end();) {
     Entry& entry = it->second;
@@ -100,8 +118,7 @@
       if (entry.keep_until == base::Instant::Never()) entry.keep_until = now + recovery_time_;
       ++it;
     } else {
-      it = targets_.erase(it);
-      has_changed_ = true;
+      it = Erase(it, revision);
     }
   }
   AdvanceTargets(revision);
@@ -119,36 +136,57 @@
   for (const std::string& it : next) SetEvacuated(it, true, now);
 }
 
-bool Registry::Merge(const CatalogCopy& copy, base::Instant now) {
-  bool is_newer = false;
-  if (copy.orders_revision > orders_revision_) {
-    const auto& zones = copy.catalog.evacuated_zones;
-    const std::vector<std::string> evacuated(zones.begin(), zones.end());
-    ReplaceOrders(copy.catalog.configuration, evacuated, copy.orders_revision, now);
-    is_newer = true;
+CatalogChanges Registry::ChangesSince(std::uint64_t sequence) const {
+  CatalogChanges changes{.sequence = sequence_,
+                         .is_full = sequence == 0 || sequence < forgotten_sequence_ ||
+                                    sequence > sequence_,
+                         .targets_revision = targets_revision_,
+                         .orders_revision = orders_revision_};
+  for (const auto& [id, entry] : targets_) {
+    if (changes.is_full || entry.sequence > sequence) {
+      changes.targets.push_back({entry.target, entry.revision});
+    }
+  }
+  for (const auto& [removal_sequence, removal] : removals_) {
+    if (!changes.is_full && removal_sequence > sequence) changes.removals.push_back(removal);
   }
-  if (copy.targets_revision > targets_revision_) {
-    ReplaceTargets(copy.catalog.targets, copy.targets_revision, false, now);
-    is_newer = true;
+  if (changes.is_full || orders_sequence_ > sequence) {
+    changes.configuration = configuration_;
+    changes.evacuated_zones.assign(evacuated_zones_.begin(), evacuated_zones_.end());
   }
-  return is_newer;
+  return changes;
 }
 
-CatalogCopy Registry::Copy() const {
-  CatalogCopy copy{.targets_revision = targets_revision_, .orders_revision = orders_revision_};
-  copy.catalog.configuration = configuration_;
-  copy.catalog.evacuated_zones = evacuated_zones_;
-  copy.catalog.targets.reserve(targets_.size());
-  for (const auto& [id, entry] : targets_) copy.catalog.targets.push_back(entry.target);
-  return copy;
+void Registry::Merge(const CatalogChanges& changes, base::Instant now) {
+  if (changes.configuration && changes.orders_revision > orders_revision_) {
+    ReplaceOrders(changes.configuration, changes.evacuated_zones, changes.orders_revision, now);
+  }
+  std::set<std::string_view> listed;
+  for (const TargetChange& it : changes.targets) {
+    listed.insert(it.target.id);
+    PutTarget(it.target, it.revision);
+  }
+  for (const TargetRemoval& it : changes.removals) {
+    const auto entry = targets_.find(it.id);
+    if (entry != targets_.end() && entry->second.revision <= it.revision) {
+      Erase(entry, it.revision);
+    }
+  }
+  if (changes.is_full) {
+    for (auto it = targets_.begin(); it != targets_.end();) {
+      const bool is_gone =
+          !listed.contains(it->first) && it->second.revision <= changes.targets_revision;
+      it = is_gone ? Erase(it, changes.targets_revision) : std::next(it);
+    }
+  }
+  AdvanceTargets(changes.targets_revision);
 }
 
 base::Instant Registry::Expire(base::Instant now) {
   base::Instant next = base::Instant::Never();
   for (auto it = targets_.begin(); it != targets_.end();) {
     if (it->second.keep_until <= now) {
-      it = targets_.erase(it);
-      has_changed_ = true;
+      it = Erase(it, it->second.revision);
       continue;
     }
     next = std::min(next, it->second.keep_until);
@@ -158,8 +196,13 @@
 }
 
 catalog::CatalogPtr Registry::TakeChange() {
-  if (!std::exchange(has_changed_, false)) return nullptr;
-  return std::make_shared<const catalog::Catalog>(Copy().catalog);
+  if (std::exchange(taken_sequence_, sequence_) == sequence_) return nullptr;
+  auto catalog = std::make_shared<catalog::Catalog>();
+  catalog->configuration = configuration_;
+  catalog->evacuated_zones = evacuated_zones_;
+  catalog->targets.reserve(targets_.size());
+  for (const auto& [id, entry] : targets_) catalog->targets.push_back(entry.target);
+  return catalog;
 }
 
 }  // namespace mangonotch::discovery
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/instant.h"
@@ -18,11 +20,30 @@
 /// Revision of the store at which something was read; grows with every change there.
 using StoreRevision = std::uint64_t;
 
-/// All that a host knows, for a host that cannot read the store itself.
-struct CatalogCopy {
+struct TargetChange {
+  catalog::Target target;
+  StoreRevision revision = 0;
+};
+
+struct TargetRemoval {
+  std::string id;
+  StoreRevision revision = 0;
+};
+
+/// What has changed in a host's catalog, for a host that does not read the store itself.
+struct CatalogChanges {
+  /// Sequence of the sender up to which the changes go.
+  std::uint64_t sequence = 0;
+  /// `targets` are all that the sender knows; others are gone.
+  bool is_full = false;
   StoreRevision targets_revision = 0;
+  std::vector<TargetChange> targets{};
+  std::vector<TargetRemoval> removals{};
   StoreRevision orders_revision = 0;
-  catalog::Catalog catalog{};
+  /// Null when the sender knows none, or its orders have not changed.
+  std::shared_ptr<const catalog::Configuration> configuration{};
+  /// Only with a configuration.
+  std::vector<std::string> evacuated_zones{};
 };
 
 class Registry {
@@ -56,9 +77,12 @@
                      std::span<const std::string> evacuated_zones, StoreRevision revision,
                      base::Instant now);
 
-  /// Takes over the newer parts of another host's copy; false when there are none.
-  bool Merge(const CatalogCopy& copy, base::Instant now);
-  CatalogCopy Copy() const;
+  /// Grows with each change of the catalog.
+  std::uint64_t sequence() const { return sequence_; }
+  /// Changes behind `sequence`; all there is for 0 and for a sequence too old to tell.
+  CatalogChanges ChangesSince(std::uint64_t sequence) const;
+  /// Takes over another host's changes where they are newer.
+  void Merge(const CatalogChanges& changes, base::Instant now);
 
   StoreRevision targets_revision() const { return targets_revision_; }
   StoreRevision orders_revision() const { return orders_revision_; }
@@ -72,10 +96,16 @@
   struct Entry {
     catalog::Target target;
     StoreRevision revision = 0;
+    /// Of the last change.
+    std::uint64_t sequence = 0;
     /// Set for an entry that a listing after an outage lacks.
     base::Instant keep_until = base::Instant::Never();
   };
 
+  using Entries = std::map<std::string, Entry, std::less<>>;
+
+  /// Removes the entry and returns the next one.
+  Entries::iterator Erase(Entries::iterator it, StoreRevision revision);
   void SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now);
   base::Duration ColdTimeOf(std::string_view service) const;
 
@@ -85,9 +115,17 @@
   StoreRevision targets_revision_ = 0;
   StoreRevision orders_revision_ = 0;
   std::shared_ptr<const catalog::Configuration> configuration_;
-  std::map<std::string, Entry, std::less<>> targets_;
+  Entries targets_;
   std::set<std::string, std::less<>> evacuated_zones_;
-  bool has_changed_ = false;
+  std::uint64_t sequence_ = 0;
+  /// Sequence of the last change of configuration or evacuations.
+  std::uint64_t orders_sequence_ = 0;
+  /// The last removals, each with its sequence.
+  std::deque<std::pair<std::uint64_t, TargetRemoval>> removals_;
+  /// Changes up to this sequence can no longer be told apart.
+  std::uint64_t forgotten_sequence_ = 0;
+  /// Sequence at the last call of TakeChange.
+  std::uint64_t taken_sequence_ = 0;
 };
 
 }  // namespace mangonotch::discovery
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -37,9 +37,12 @@
   std::uint64_t sequence = 0;
   /// The sender is stopping and takes no new callers.
   bool is_leaving = false;
-  /// Revisions of the store up to which the sender knows targets and operators' orders.
-  std::uint64_t targets_revision = 0;
-  std::uint64_t orders_revision = 0;
+  /// The sender watches the store itself.
+  bool watches_store = false;
+  /// What the sender knows of the store is up to date, by its own watches.
+  bool has_fresh_catalog = false;
+  /// Grows with each change of the sender's catalog; starts anew with each incarnation.
+  std::uint64_t catalog_sequence = 0;
   std::vector<TargetLoad> loads{};
   /// Addresses of other hosts, so that each host learns of all.
   std::vector<base::Endpoint> contacts{};
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -3,7 +3,17 @@
 
 #include <algorithm>
 
+#include "base/hash.h"
+
 namespace mangonotch::fleet {
+namespace {
+
+/// Two, so that the loss of one leaves the region informed.
+constexpr std::uint32_t kWatchersPerRegion = 2;
+/// Bounds the calls to a store that does not answer.
+constexpr std::uint32_t kMostTryingPerRegion = 5;
+
+}  // namespace
 
 bool Members::OnHeartbeat(const Heartbeat& heartbeat, base::Instant now) {
   if (heartbeat.sender.host == self_.host) return false;
@@ -39,11 +49,27 @@
                 [&](const auto& it) { return now - it.second > timing_.contact_memory; });
 }
 
-std::vector<base::Endpoint> Members::Contacts() const {
-  std::vector<base::Endpoint> contacts;
-  contacts.reserve(contacts_.size());
-  for (const auto& [contact, named_at] : contacts_) contacts.push_back(contact);
-  return contacts;
+Members::ContactLists Members::Contacts() const {
+  std::map<std::pair<base::IpAddress, std::uint16_t>, bool> heard;
+  for (const auto& [host, member] : members_) {
+    const base::Endpoint& peers = member.last.sender.peers;
+    heard[{peers.address, peers.port}] = IsLocal(member);
+  }
+  ContactLists lists;
+  for (const auto& [contact, named_at] : contacts_) {
+    const auto it = heard.find({contact.address, contact.port});
+    if (it == heard.end()) {
+      lists.unheard.push_back(contact);
+    } else {
+      (it->second ? lists.local : lists.remote).push_back(contact);
+    }
+  }
+  return lists;
+}
+
+bool Members::IsLive(const Member& member, base::Instant now) const {
+  const base::Duration limit = IsLocal(member) ? timing_.silence : timing_.remote_silence;
+  return now - member.heard_at <= limit;
 }
 
 std::uint32_t Members::CountForSums(base::Instant now) const {
@@ -72,18 +98,26 @@
   return loads;
 }
 
-const HostRecord* Members::FindNewer(std::uint64_t targets_revision,
-                                     std::uint64_t orders_revision, base::Instant now) const {
+bool Members::ShouldWatchStore(base::Instant now) const {
+  const std::uint64_t own_rank = base::Hash(self_.host);
+  std::uint32_t fresh = 0;
+  std::uint32_t trying = 0;
+  for (const auto& [host, member] : members_) {
+    const bool is_before = base::Hash(host) < own_rank;
+    if (!is_before || !IsLocal(member) || !IsLive(member, now) || member.last.is_leaving) continue;
+    fresh += member.last.has_fresh_catalog ? 1 : 0;
+    trying += member.last.watches_store ? 1 : 0;
+  }
+  return fresh < kWatchersPerRegion && trying < kMostTryingPerRegion;
+}
+
+const Heartbeat* Members::FindFreshCatalog(base::Instant now) const {
   const Member* best = nullptr;
   for (const auto& [host, member] : members_) {
-    const bool is_newer = member.last.targets_revision > targets_revision ||
-                          member.last.orders_revision > orders_revision;
-    if (!IsLive(member, now) || !is_newer) continue;
-    if (best == nullptr || member.last.targets_revision > best->last.targets_revision) {
-      best = &member;
-    }
+    if (!IsLive(member, now) || !member.last.has_fresh_catalog) continue;
+    if (best == nullptr || (IsLocal(member) && !IsLocal(*best))) best = &member;
   }
-  return best == nullptr ? nullptr : &best->last.sender;
+  return best == nullptr ? nullptr : &best->last;
 }
 
 std::string_view Members::RegionOf(std::string_view zone) const {
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -14,8 +14,9 @@
 namespace mangonotch::fleet {
 
 struct MemberTiming {
-  /// A host that was silent for this time is taken as stopped.
-  base::Duration silence = base::Duration::Milliseconds(1500);
+  /// A host of this region, or of another, that was silent for this time is taken as stopped.
+  base::Duration silence = base::Duration::Milliseconds(1800);
+  base::Duration remote_silence = base::Duration::Milliseconds(4000);
   /// A silent host still counts this long where sums over all hosts are divided: it may be alive
   /// and cut off.
   base::Duration memory = base::Duration::Seconds(20);
@@ -37,16 +38,25 @@
   /// Forgets what has been silent too long.
   void Expire(base::Instant now);
 
-  /// Where to send heartbeats.
-  std::vector<base::Endpoint> Contacts() const;
+  /// Where to send heartbeats: hosts of this region, hosts of others, and addresses where no host
+  /// has been heard.
+  struct ContactLists {
+    std::vector<base::Endpoint> local;
+    std::vector<base::Endpoint> remote;
+    std::vector<base::Endpoint> unheard;
+  };
+  ContactLists Contacts() const;
   /// Hosts that may be alive, this one included.
   std::uint32_t CountForSums(base::Instant now) const;
   std::uint32_t CountLive(base::Instant now) const;
   /// Sum of the live other hosts' work for each target.
   std::vector<TargetLoad> PeerLoads(base::Instant now) const;
-  /// A live host that knows more of the store than the given revisions; null when there is none.
-  const HostRecord* FindNewer(std::uint64_t targets_revision, std::uint64_t orders_revision,
-                              base::Instant now) const;
+  /// Whether this host is to watch the store: each region has a few watchers, the first by name's
+  /// hash of those that live, and more while some of these cannot reach the store.
+  bool ShouldWatchStore(base::Instant now) const;
+  /// The heartbeat of a live host with a fresh catalog, of this region if there is one; null when
+  /// there is none.
+  const Heartbeat* FindFreshCatalog(base::Instant now) const;
 
   /// Hosts for callers of a region: the live ones there that are not stopping; all of those where
   /// the region has none. `is_leaving` tells whether this host is stopping. At most `most`.
@@ -61,8 +71,9 @@
     base::Instant heard_at;
   };
 
-  bool IsLive(const Member& member, base::Instant now) const {
-    return now - member.heard_at <= timing_.silence;
+  bool IsLive(const Member& member, base::Instant now) const;
+  bool IsLocal(const Member& member) const {
+    return RegionOf(member.last.sender.zone) == RegionOf(self_.zone);
   }
   std::string_view RegionOf(std::string_view zone) const;
 
--- a/src/peering/codec.h
+++ b/src/peering/codec.h
@@ -1,4 +1,4 @@
-// Encodes what hosts send each other: heartbeats as datagrams, copies of the catalog as bodies.
+// Encodes what hosts send each other: heartbeats as datagrams, changes of the catalog as bodies.
 // The binary form is cereal's portable one behind a magic number and a version.
 #pragma once
 
@@ -25,7 +25,7 @@
 std::optional<fleet::Heartbeat> DecodeHeartbeat(std::string_view bytes);
 
 /// Instants are sent as time left from `now`.
-std::string EncodeCatalog(const discovery::CatalogCopy& copy, base::Instant now);
-std::optional<discovery::CatalogCopy> DecodeCatalog(std::string_view bytes, base::Instant now);
+std::string EncodeChanges(const discovery::CatalogChanges& changes, base::Instant now);
+std::optional<discovery::CatalogChanges> DecodeChanges(std::string_view bytes, base::Instant now);
 
 }  // namespace mangonotch::peering
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -1,5 +1,6 @@
-// Sends this host's heartbeat to all others and takes theirs, over UDP; serves copies of the
-// catalog over TCP to hosts that cannot read the store, and fetches one when this host cannot.
+// Sends this host's heartbeat to all others and takes theirs, over UDP; serves changes of
+// the catalog over TCP to hosts that do not watch the store, and fetches them when this host does
+// not.
 #pragma once
 
 #include <utility>
@@ -10,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 
 #include "base/random.h"
@@ -29,8 +31,8 @@
     std::function<void()> on_interval;
     /// The registry has taken over newer records of another host.
     std::function<void()> on_merged;
-    /// This host reads the store itself and needs no copy.
-    std::function<bool()> reads_store;
+    /// This host watches the store itself and needs no changes from others.
+    std::function<bool()> has_fresh_catalog;
   };
 
   /// Binds the peer address of `members.self()` for UDP and TCP; throws base::Error when it cannot.
@@ -39,10 +41,10 @@
          std::uint64_t incarnation, Callbacks callbacks);
 
   void Start();
-  /// Sends a heartbeat at once, beside those of the interval.
+  /// Sends a heartbeat to all at once, beside those of the interval.
   void Announce();
 
-  // For the server of catalog copies.
+  // For the server of catalog changes.
 
   void OnRequest(http1::RequestId id, http1::Request request);
   void OnCallerGone(http1::RequestId) {}
@@ -51,7 +53,11 @@
   void Receive();
   void Beat();
   void FetchIfBehind();
-  void OnFetched(const http1::ExchangeResult& result);
+  void OnFetched(std::uint64_t incarnation, const http1::ExchangeResult& result);
+  void EndFetch();
+  void SendTo(std::span<const base::Endpoint> receivers, bool with_loads,
+              const fleet::Members::ContactLists& contacts);
+  void AddContacts(std::span<const base::Endpoint> contacts, fleet::Heartbeat& heartbeat);
 
   boost::asio::io_context& context_;
   fleet::Members& members_;
@@ -66,7 +72,11 @@
   std::uint64_t sequence_ = 0;
   base::Random random_;
   std::shared_ptr<http1::ClientConnection> fetch_;
-  base::Instant fetch_after_;
+  base::Instant fetch_deadline_;
+  /// The host that the last changes came from, and how far they went.
+  std::uint64_t source_incarnation_ = 0;
+  std::uint64_t source_sequence_ = 0;
+  std::uint64_t beats_ = 0;
 };
 
 }  // namespace mangonotch::peering
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -79,8 +79,8 @@
 
 template <typename Archive>
 void serialize(Archive& archive, Heartbeat& it) {
-  archive(it.sender, it.incarnation, it.sequence, it.is_leaving, it.targets_revision,
-          it.orders_revision, it.loads, it.contacts);
+  archive(it.sender, it.incarnation, it.sequence, it.is_leaving, it.watches_store,
+          it.has_fresh_catalog, it.catalog_sequence, it.loads, it.contacts);
 }
 
 }  // namespace mangonotch::fleet
@@ -92,32 +92,45 @@
 
 /// Changes with every change of a message's form.
 constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6801;
-constexpr std::uint32_t kCatalogMagic = 0x6d6e6301;
+constexpr std::uint32_t kChangesMagic = 0x6d6e6301;
 
 /// A target with the rest of its cold time in place of an instant of the sender's clock.
 struct TargetOnWire {
-  catalog::Target target;
+  discovery::TargetChange change;
   base::Duration cold_remaining;
 
   template <typename Archive>
   void serialize(Archive& archive) {
+    catalog::Target& target = change.target;
     archive(target.id, target.service, target.address, target.zone, target.slots,
-            target.is_draining, target.started_at_ms, cold_remaining);
+            target.is_draining, target.started_at_ms, change.revision, cold_remaining);
   }
 };
 
-struct CatalogOnWire {
+struct RemovalOnWire {
+  discovery::TargetRemoval removal;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(removal.id, removal.revision);
+  }
+};
+
+struct ChangesOnWire {
+  std::uint64_t sequence = 0;
+  bool is_full = false;
   std::uint64_t targets_revision = 0;
+  std::vector<TargetOnWire> targets{};
+  std::vector<RemovalOnWire> removals{};
   std::uint64_t orders_revision = 0;
   bool has_configuration = false;
   catalog::Configuration configuration{};
-  std::vector<TargetOnWire> targets{};
   std::vector<std::string> evacuated_zones{};
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(targets_revision, orders_revision, has_configuration, configuration, targets,
-            evacuated_zones);
+    archive(sequence, is_full, targets_revision, targets, removals, orders_revision,
+            has_configuration, configuration, evacuated_zones);
   }
 };
 
@@ -160,37 +173,42 @@
   return Decode<Heartbeat>(kHeartbeatMagic, bytes);
 }
 
-std::string EncodeCatalog(const discovery::CatalogCopy& copy, base::Instant now) {
-  CatalogOnWire wire{.targets_revision = copy.targets_revision,
-                     .orders_revision = copy.orders_revision};
-  if (copy.catalog.configuration) {
+std::string EncodeChanges(const discovery::CatalogChanges& changes, base::Instant now) {
+  ChangesOnWire wire{.sequence = changes.sequence,
+                     .is_full = changes.is_full,
+                     .targets_revision = changes.targets_revision,
+                     .orders_revision = changes.orders_revision,
+                     .evacuated_zones = changes.evacuated_zones};
+  if (changes.configuration) {
     wire.has_configuration = true;
-    wire.configuration = *copy.catalog.configuration;
+    wire.configuration = *changes.configuration;
   }
-  for (const catalog::Target& it : copy.catalog.targets) {
-    const bool is_cold = it.cold_until > now;
-    wire.targets.push_back({it, is_cold ? it.cold_until - now : base::Duration()});
+  for (const discovery::TargetChange& it : changes.targets) {
+    const bool is_cold = it.target.cold_until > now;
+    wire.targets.push_back({it, is_cold ? it.target.cold_until - now : base::Duration()});
   }
-  wire.evacuated_zones.assign(copy.catalog.evacuated_zones.begin(),
-                              copy.catalog.evacuated_zones.end());
-  return Encode(kCatalogMagic, wire);
+  for (const discovery::TargetRemoval& it : changes.removals) wire.removals.push_back({it});
+  return Encode(kChangesMagic, wire);
 }
 
-std::optional<discovery::CatalogCopy> DecodeCatalog(std::string_view bytes, base::Instant now) {
-  auto wire = Decode<CatalogOnWire>(kCatalogMagic, bytes);
+std::optional<discovery::CatalogChanges> DecodeChanges(std::string_view bytes, base::Instant now) {
+  auto wire = Decode<ChangesOnWire>(kChangesMagic, bytes);
   if (!wire) return std::nullopt;
-  discovery::CatalogCopy copy{.targets_revision = wire->targets_revision,
-                              .orders_revision = wire->orders_revision};
+  discovery::CatalogChanges changes{.sequence = wire->sequence,
+                                    .is_full = wire->is_full,
+                                    .targets_revision = wire->targets_revision,
+                                    .orders_revision = wire->orders_revision,
+                                    .evacuated_zones = std::move(wire->evacuated_zones)};
   if (wire->has_configuration) {
-    copy.catalog.configuration =
+    changes.configuration =
         std::make_shared<const catalog::Configuration>(std::move(wire->configuration));
   }
   for (TargetOnWire& it : wire->targets) {
-    it.target.cold_until = now + it.cold_remaining;
-    copy.catalog.targets.push_back(std::move(it.target));
+    it.change.target.cold_until = now + it.cold_remaining;
+    changes.targets.push_back(std::move(it.change));
   }
-  copy.catalog.evacuated_zones.insert(wire->evacuated_zones.begin(), wire->evacuated_zones.end());
-  return copy;
+  for (RemovalOnWire& it : wire->removals) changes.removals.push_back(std::move(it.removal));
+  return changes;
 }
 
 }  // namespace mangonotch::peering
--- a/src/platform/internal/prefix_feed.inl
+++ b/src/platform/internal/prefix_feed.inl
@@ -20,6 +20,24 @@
   });
 }
 
+template <FeedSink Sink>
+void PrefixFeed<Sink>::SetActive(bool is_active) {
+  if (!is_active) has_answer_ = false;
+  is_active_ = is_active;
+  if (is_active_ && !std::exchange(is_running_, true)) Continue();
+}
+
+template <FeedSink Sink>
+void PrefixFeed<Sink>::Continue() {
+  if (!is_active_) {
+    is_running_ = false;
+  } else if (has_listed_) {
+    Watch();
+  } else {
+    List({});
+  }
+}
+
 template <FeedSink Sink>
 void PrefixFeed<Sink>::List(std::string after_key) {
   if (after_key.empty()) pages_.clear();
@@ -44,7 +62,7 @@
   watched_to_ = listing_as_of_;
   sink_.OnListing(pages_, listing_as_of_, std::exchange(is_after_outage_, false));
   pages_.clear();
-  Watch();
+  Continue();
 }
 
 template <FeedSink Sink>
@@ -71,9 +89,9 @@
   const base::Instant next = watch_started_ + pace_.interval;
   const base::Instant now = http1::Now();
   if (next <= now) {
-    Watch();
+    Continue();
   } else {
-    After(next - now, [this] { Watch(); });
+    After(next - now, [this] { Continue(); });
   }
 }
 
@@ -84,17 +102,12 @@
   const auto half = kFailurePause / 2;
   const auto drawn = base::Duration::Nanoseconds(
       static_cast<std::int64_t>(random_.Unit() * static_cast<double>(half.nanoseconds())));
-  After(half + drawn, [this] {
-    if (has_listed_) {
-      Watch();
-    } else {
-      List({});
-    }
-  });
+  After(half + drawn, [this] { Continue(); });
 }
 
 template <FeedSink Sink>
 void PrefixFeed<Sink>::OnSuccess() {
+  has_answer_ = is_active_;
   if (std::exchange(is_lost_, false)) sink_.OnRegained();
 }
 
--- a/src/platform/internal/store_sinks.cc
+++ b/src/platform/internal/store_sinks.cc
@@ -74,12 +74,10 @@
 }
 
 void TargetsSink::OnLost() {
-  is_lost_ = true;
   logging::Log(Level::kWarning, "store_lost", {{"records", "targets"}});
 }
 
 void TargetsSink::OnRegained() {
-  is_lost_ = false;
   logging::Log(Level::kInfo, "store_regained", {{"records", "targets"}});
   context_.registry.OnOutageEnd(http1::Now());
 }
@@ -125,12 +123,10 @@
 }
 
 void OrdersSink::OnLost() {
-  is_lost_ = true;
   logging::Log(Level::kWarning, "store_lost", {{"records", "orders"}});
 }
 
 void OrdersSink::OnRegained() {
-  is_lost_ = false;
   logging::Log(Level::kInfo, "store_regained", {{"records", "orders"}});
 }
 
--- a/src/platform/prefix_feed.h
+++ b/src/platform/prefix_feed.h
@@ -50,9 +50,14 @@
         timer_(context),
         random_(seed) {}
 
-  void Start() { List({}); }
+  /// Starts or stops the calls; the copy ages while they are stopped. Starts stopped.
+  void SetActive(bool is_active);
+  bool is_active() const { return is_active_; }
+  /// Active, and the last call was answered.
+  bool is_fresh() const { return is_active_ && has_answer_ && !is_lost_; }
 
  private:
+  void Continue();
   void List(std::string after_key);
   void OnListed(ReadResult result);
   void Watch();
@@ -75,6 +80,11 @@
   Revision watched_to_ = 0;
   base::Instant watch_started_;
   bool has_listed_ = false;
+  bool is_active_ = false;
+  /// A call was answered since the feed was last started.
+  bool has_answer_ = false;
+  /// A call or a pause is under way, which ends in the next call.
+  bool is_running_ = false;
   /// The store has failed since the last answer.
   bool is_lost_ = false;
   /// The next listing follows an outage.
--- a/src/platform/store_sinks.h
+++ b/src/platform/store_sinks.h
@@ -28,11 +28,11 @@
   void OnChanges(std::span<const StoreItem> items, Revision as_of);
   void OnLost();
   void OnRegained();
-  bool is_lost() const { return is_lost_; }
+
 
  private:
   SinkContext context_;
-  bool is_lost_ = false;
+
 };
 
 /// The operators' configuration and evacuations.
@@ -44,13 +44,13 @@
   void OnChanges(std::span<const StoreItem> items, Revision as_of);
   void OnLost();
   void OnRegained();
-  bool is_lost() const { return is_lost_; }
+
 
  private:
   std::shared_ptr<const catalog::Configuration> Decode(const StoreItem& item);
 
   SinkContext context_;
-  bool is_lost_ = false;
+
 };
 
 }  // namespace mangonotch::platform
