--- /dev/null
+++ b/src/discovery/tests/registry_test.cc
@@ -0,0 +1,155 @@
+// Guards what hosts believe of targets and orders through outages of the store, old news and copies
+// from other hosts.
+#include "discovery/registry.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::discovery {
+namespace {
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+catalog::Target MakeTarget(std::string id, bool is_draining = false) {
+  catalog::Target target;
+  target.id = std::move(id);
+  target.service = "status";
+  target.zone = "a1";
+  target.is_draining = is_draining;
+  return target;
+}
+
+std::shared_ptr<const catalog::Configuration> Version(std::uint64_t version) {
+  auto configuration = std::make_shared<catalog::Configuration>();
+  configuration->version = version;
+  configuration->services.push_back({.name = "status",
+                                     .health_path = {},
+                                     .max_connections = 0,
+                                     .cold_time = base::Duration::Seconds(3),
+                                     .cold_rate = 16});
+  return configuration;
+}
+
+std::vector<std::string> IdsOf(const catalog::Catalog& catalog) {
+  std::vector<std::string> ids;
+  for (const catalog::Target& it : catalog.targets) ids.push_back(it.id);
+  return ids;
+}
+
+constexpr base::Duration kRecovery = base::Duration::Milliseconds(2500);
+
+}  // namespace
+
+TEST_CASE("Reports that change nothing make no new catalog") {
+  Registry registry(kRecovery);
+  registry.PutTarget(MakeTarget("t1"), 5);
+  REQUIRE(registry.TakeChange() != nullptr);
+  registry.PutTarget(MakeTarget("t1"), 6);
+  REQUIRE(registry.TakeChange() == nullptr);
+}
+
+TEST_CASE("Old news neither brings back a target nor undoes its draining") {
+  Registry registry(kRecovery);
+  registry.PutTarget(MakeTarget("t1", true), 9);
+  registry.PutTarget(MakeTarget("t1", false), 8);
+  REQUIRE(registry.TakeChange()->targets.at(0).is_draining);
+  registry.RemoveTarget("t1", 8, At(0));
+  REQUIRE(registry.TakeChange() == nullptr);
+}
+
+TEST_CASE("A configuration never reverts to an older version") {
+  Registry registry(kRecovery);
+  registry.PutConfiguration(Version(7), 100);
+  registry.PutConfiguration(Version(5), 101);
+  registry.ReplaceOrders(Version(6), {}, 102, At(0));
+  REQUIRE(registry.TakeChange()->configuration->version == 7);
+}
+
+TEST_CASE("Entries that lapsed in an outage are kept until live targets are back") {
+  Registry registry(kRecovery);
+  registry.PutTarget(MakeTarget("back"), 1);
+  registry.PutTarget(MakeTarget("gone"), 1);
+  registry.PutTarget(MakeTarget("left", true), 1);
+  registry.TakeChange();
+  registry.ReplaceTargets({}, 10, true, At(0));
+  REQUIRE(IdsOf(*registry.TakeChange()) == std::vector<std::string>{"back", "gone"});
+  registry.PutTarget(MakeTarget("back"), 11);
+  REQUIRE(registry.Expire(At(100)) == At(2500));
+  registry.Expire(At(2500));
+  REQUIRE(IdsOf(*registry.TakeChange()) == std::vector<std::string>{"back"});
+}
+
+TEST_CASE("A removal shortly after an outage counts only after the recovery time") {
+  Registry registry(kRecovery);
+  registry.PutTarget(MakeTarget("t1"), 1);
+  registry.OnOutageEnd(At(0));
+  registry.RemoveTarget("t1", 2, At(100));
+  REQUIRE(registry.TakeChange()->targets.size() == 1);
+  registry.Expire(At(2600));
+  REQUIRE(registry.TakeChange()->targets.empty());
+}
+
+TEST_CASE("A removal in calm times counts at once") {
+  Registry registry(kRecovery);
+  registry.PutTarget(MakeTarget("t1"), 1);
+  registry.RemoveTarget("t1", 2, At(100));
+  REQUIRE(registry.TakeChange()->targets.empty());
+}
+
+TEST_CASE("Targets of a zone that is taken back count as cold") {
+  Registry registry(kRecovery);
+  registry.PutConfiguration(Version(1), 1);
+  registry.PutTarget(MakeTarget("t1"), 2);
+  registry.PutEvacuation("a1", true, 3, At(0));
+  REQUIRE(registry.TakeChange()->evacuated_zones.contains("a1"));
+  registry.PutEvacuation("a1", false, 4, At(1000));
+  const auto catalog = registry.TakeChange();
+  REQUIRE(catalog->evacuated_zones.empty());
+  REQUIRE(catalog->targets.at(0).cold_until == At(4000));
+}
+
+TEST_CASE("A host that follows another by its changes knows the same") {
+  Registry source(kRecovery);
+  Registry copy(kRecovery);
+  source.PutConfiguration(Version(3), 1);
+  source.PutTarget(MakeTarget("t1"), 2);
+  source.PutTarget(MakeTarget("t2"), 2);
+  source.AdvanceTargets(2);
+  copy.Merge(source.ChangesSince(0), At(0));
+  const std::uint64_t seen = source.sequence();
+  REQUIRE(IdsOf(*copy.TakeChange()) == std::vector<std::string>{"t1", "t2"});
+  source.RemoveTarget("t1", 5, At(10));
+  source.PutTarget(MakeTarget("t2", true), 6);
+  source.PutEvacuation("a1", true, 7, At(10));
+  const CatalogChanges changes = source.ChangesSince(seen);
+  REQUIRE_FALSE(changes.is_full);
+  copy.Merge(changes, At(20));
+  const auto catalog = copy.TakeChange();
+  REQUIRE(IdsOf(*catalog) == std::vector<std::string>{"t2"});
+  REQUIRE(catalog->targets.at(0).is_draining);
+  REQUIRE(catalog->evacuated_zones.contains("a1"));
+  REQUIRE(catalog->configuration->version == 3);
+}
+
+TEST_CASE("A full copy removes what the sender no longer knows, but nothing newer") {
+  Registry source(kRecovery);
+  source.PutTarget(MakeTarget("t1"), 5);
+  source.AdvanceTargets(5);
+  Registry copy(kRecovery);
+  copy.PutTarget(MakeTarget("old"), 4);
+  copy.PutTarget(MakeTarget("newer"), 6);
+  copy.Merge(source.ChangesSince(0), At(0));
+  REQUIRE(IdsOf(*copy.TakeChange()) == std::vector<std::string>{"newer", "t1"});
+}
+
+TEST_CASE("A host too far behind to be told each removal gets a full copy") {
+  Registry source(kRecovery);
+  source.PutTarget(MakeTarget("first"), 1);
+  const std::uint64_t seen = source.sequence();
+  for (StoreRevision revision = 2; revision < 1300; revision += 2) {
+    source.PutTarget(MakeTarget("t"), revision);
+    source.RemoveTarget("t", revision + 1, At(0));
+  }
+  REQUIRE(source.ChangesSince(seen).is_full);
+}
+
+}  // namespace mangonotch::discovery
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -15,9 +15,9 @@
   base::HostId host;
   std::string zone;
   /// Where callers connect.
-  base::Endpoint callers;
+  base::Endpoint callers{};
   /// Where other hosts reach it, by UDP and TCP.
-  base::Endpoint peers;
+  base::Endpoint peers{};
 
   bool operator==(const HostRecord&) const = default;
 };
--- /dev/null
+++ b/src/fleet/tests/members_test.cc
@@ -0,0 +1,129 @@
+// Guards which hosts callers are sent to, and how many hosts ask the store.
+#include "fleet/members.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::fleet {
+namespace {
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+base::Endpoint EndpointOf(std::uint16_t port) {
+  base::Endpoint endpoint;
+  endpoint.port = port;
+  return endpoint;
+}
+
+HostRecord RecordOf(const std::string& host, const std::string& zone, std::uint16_t port) {
+  return {.host = host,
+          .zone = zone,
+          .callers = EndpointOf(port),
+          .peers = EndpointOf(static_cast<std::uint16_t>(port + 1000))};
+}
+
+Heartbeat BeatOf(const HostRecord& record, std::uint64_t sequence = 1) {
+  return {.sender = record, .incarnation = 1, .sequence = sequence};
+}
+
+Members MembersOf(const HostRecord& self) {
+  return Members(self, {{"a1", "A"}, {"a2", "A"}, {"b1", "B"}}, {});
+}
+
+const HostRecord kSelf = RecordOf("self", "a1", 1);
+const HostRecord kNear = RecordOf("near", "a2", 2);
+const HostRecord kFar = RecordOf("far", "b1", 3);
+
+}  // namespace
+
+TEST_CASE("Callers are sent to the live hosts of their region") {
+  Members members = MembersOf(kSelf);
+  members.OnHeartbeat(BeatOf(kNear), At(0));
+  members.OnHeartbeat(BeatOf(kFar), At(0));
+  REQUIRE(members.Resolve("A", false, 64, At(100)) ==
+          std::vector{kSelf.callers, kNear.callers});
+  REQUIRE(members.Resolve("B", false, 64, At(100)) == std::vector{kFar.callers});
+}
+
+TEST_CASE("Silent and stopping hosts are not named") {
+  Members members = MembersOf(kSelf);
+  members.OnHeartbeat(BeatOf(kNear), At(0));
+  REQUIRE(members.Resolve("A", false, 64, At(5000)) == std::vector{kSelf.callers});
+  Heartbeat leaving = BeatOf(kNear, 2);
+  leaving.is_leaving = true;
+  members.OnHeartbeat(leaving, At(5000));
+  REQUIRE(members.Resolve("A", false, 64, At(5001)) == std::vector{kSelf.callers});
+}
+
+TEST_CASE("A region without hosts is served by the others, and some host is always named") {
+  Members members = MembersOf(kSelf);
+  REQUIRE(members.Resolve("B", false, 64, At(0)) == std::vector{kSelf.callers});
+  REQUIRE(members.Resolve("A", true, 64, At(0)) == std::vector{kSelf.callers});
+}
+
+TEST_CASE("Repeated and late heartbeats do not undo newer ones") {
+  Members members = MembersOf(kSelf);
+  Heartbeat leaving = BeatOf(kNear, 5);
+  leaving.is_leaving = true;
+  REQUIRE(members.OnHeartbeat(leaving, At(0)));
+  REQUIRE_FALSE(members.OnHeartbeat(BeatOf(kNear, 4), At(1)));
+  REQUIRE(members.Resolve("A", false, 64, At(2)) == std::vector{kSelf.callers});
+}
+
+TEST_CASE("Silent hosts still count where a sum over all hosts is divided") {
+  Members members = MembersOf(kSelf);
+  members.OnHeartbeat(BeatOf(kNear), At(0));
+  REQUIRE(members.CountLive(At(10'000)) == 1);
+  REQUIRE(members.CountForSums(At(10'000)) == 2);
+}
+
+TEST_CASE("Work of silent hosts is forgotten") {
+  Members members = MembersOf(kSelf);
+  Heartbeat beat = BeatOf(kNear);
+  beat.loads = {{.target_key = 7, .in_flight = 3}};
+  members.OnHeartbeat(beat, At(0));
+  REQUIRE(members.PeerLoads(At(10)) == std::vector{TargetLoad{7, 3}});
+  REQUIRE(members.PeerLoads(At(10'000)).empty());
+}
+
+TEST_CASE("Two of many hosts watch the store, and more while these cannot reach it") {
+  std::vector<HostRecord> hosts;
+  for (std::uint16_t i = 0; i < 20; ++i) {
+    hosts.push_back(RecordOf("host-" + std::to_string(i), "a1", static_cast<std::uint16_t>(i + 1)));
+  }
+  std::map<std::string, Heartbeat> beats;
+  for (const HostRecord& it : hosts) beats[it.host] = BeatOf(it);
+  const auto watchers = [&](bool store_answers) {
+    int n = 0;
+    // Some rounds, since each host's decision follows the heartbeats of the others.
+    for (std::uint64_t round = 2; round < 12; ++round) {
+      n = 0;
+      const auto before = beats;
+      for (const HostRecord& self : hosts) {
+        Members members = MembersOf(self);
+        for (const auto& [host, beat] : before) members.OnHeartbeat(beat, At(0));
+        const bool watches = members.ShouldWatchStore(At(1));
+        beats[self.host].watches_store = watches;
+        beats[self.host].has_fresh_catalog = watches && store_answers;
+        n += watches ? 1 : 0;
+      }
+    }
+    return n;
+  };
+  REQUIRE(watchers(true) == 2);
+  REQUIRE(watchers(false) == 5);
+  REQUIRE(watchers(true) == 2);
+}
+
+TEST_CASE("Addresses named by others are tried, and forgotten when nobody answers there") {
+  Members members = MembersOf(kSelf);
+  Heartbeat beat = BeatOf(kNear);
+  beat.contacts = {EndpointOf(77), kSelf.peers};
+  members.OnHeartbeat(beat, At(0));
+  REQUIRE(members.Contacts().local == std::vector{kNear.peers});
+  REQUIRE(members.Contacts().unheard == std::vector{EndpointOf(77)});
+  members.OnHeartbeat(BeatOf(kNear, 2), At(59'000));
+  members.Expire(At(61'000));
+  REQUIRE(members.Contacts().unheard.empty());
+}
+
+}  // namespace mangonotch::fleet
--- /dev/null
+++ b/src/peering/tests/codec_test.cc
@@ -0,0 +1,61 @@
+// Guards the form of what hosts send each other, and that bytes of strangers do no harm.
+#include "peering/codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::peering {
+namespace {
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+fleet::Heartbeat LargestHeartbeat() {
+  fleet::Heartbeat heartbeat;
+  heartbeat.sender = {.host = "edge-pohjois-pohjanmaa-a-12", .zone = "oul-a"};
+  heartbeat.sequence = 1ULL << 40;
+  for (std::uint64_t i = 0; i < kMostLoads + 10; ++i) heartbeat.loads.push_back({i << 40, 9});
+  heartbeat.contacts.resize(kMostContacts + 10);
+  return heartbeat;
+}
+
+}  // namespace
+
+TEST_CASE("A heartbeat arrives as it was sent and fits a datagram") {
+  fleet::Heartbeat heartbeat = LargestHeartbeat();
+  const std::string bytes = EncodeHeartbeat(heartbeat);
+  REQUIRE(bytes.size() <= 2 * kMostDatagramBytes);
+  heartbeat.loads.resize(kMostLoads);
+  heartbeat.contacts.resize(kMostContacts);
+  REQUIRE(DecodeHeartbeat(bytes) == heartbeat);
+}
+
+TEST_CASE("Foreign, cut and forged datagrams are no heartbeats") {
+  const std::string bytes = EncodeHeartbeat(LargestHeartbeat());
+  REQUIRE_FALSE(DecodeHeartbeat(""));
+  REQUIRE_FALSE(DecodeHeartbeat("GET / HTTP/1.1\r\n\r\n"));
+  for (std::size_t n = 0; n < bytes.size(); n += 7) {
+    REQUIRE_FALSE(DecodeHeartbeat(std::string_view(bytes).substr(0, n)));
+  }
+}
+
+TEST_CASE("Changes carry the rest of a cold time from clock to clock") {
+  discovery::CatalogChanges changes{.sequence = 4, .is_full = true, .targets_revision = 9};
+  catalog::Target target;
+  target.id = "t1";
+  target.cold_until = At(5000);
+  changes.targets = {{target, 8}};
+  changes.removals = {{.id = "t2", .revision = 7}};
+  auto configuration = std::make_shared<catalog::Configuration>();
+  configuration->version = 12;
+  changes.configuration = configuration;
+  changes.evacuated_zones = {"a1"};
+  const auto copy = DecodeChanges(EncodeChanges(changes, At(3000)), At(70'000));
+  REQUIRE(copy);
+  REQUIRE(copy->targets.at(0).target.cold_until == At(72'000));
+  REQUIRE(copy->targets.at(0).revision == 8);
+  REQUIRE(copy->removals.at(0).id == "t2");
+  REQUIRE(*copy->configuration == *configuration);
+  REQUIRE(copy->evacuated_zones == changes.evacuated_zones);
+  REQUIRE_FALSE(DecodeChanges("nothing", At(0)));
+}
+
+}  // namespace mangonotch::peering
--- a/src/platform/internal/records.cc
+++ b/src/platform/internal/records.cc
@@ -126,7 +126,11 @@
     if (!address) throw std::invalid_argument("address is no ip:port");
     target.address = *address;
     target.zone = root.at("zone").get<std::string>();
-    target.slots = root.at("maxConcurrency").get<std::uint32_t>();
+    const Json& slots = root.at("maxConcurrency");
+    if (!slots.is_number_unsigned() || slots.get<std::uint32_t>() == 0) {
+      throw std::invalid_argument("maxConcurrency is no positive whole number");
+    }
+    target.slots = slots.get<std::uint32_t>();
     const auto state = root.at("state").get<std::string>();
     if (state != "ready" && state != "draining") throw std::invalid_argument("unknown state");
     target.is_draining = state == "draining";
--- /dev/null
+++ b/src/platform/tests/records_test.cc
@@ -0,0 +1,107 @@
+// Guards the decoding of the store's records: one that cannot be read must be refused as a whole
+// and must not hide the others.
+#include "platform/records.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::platform {
+namespace {
+
+constexpr std::string_view kTarget =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"hel-a","configVersion":"v1",)"
+    R"("maxConcurrency":4,"state":"ready","coldRemaining":"1500ms","sequence":4,"born":1764850000123})";
+
+constexpr std::string_view kConfiguration = R"({"configVersion":"0000000c","services":[
+  {"name":"huvo11a","healthPath":"/healthz","maxConnections":330,"coldStart":"3s","coldPerS":16.0}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15s"},
+  "virtualHosts":[{"host":"jepu9.example","pathRules":[
+    {"name":"one","pathPrefix":"/a/","type":"non_idempotent","timeout":"1500ms","targetLatency":"300ms",
+     "priority":1,"service":"huvo11a","maxAttempts":2,"sessionAffinity":true,"allowedRegions":["x"]},
+    {"name":"two","pathPrefix":"/b/","type":"idempotent","timeout":"1.2s","priority":2,"maxAttempts":3,
+     "weightedBackends":[{"service":"huvo11a","weight":90},{"service":"other","weight":10}]}]}]})";
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+std::string Replaced(std::string_view text, std::string_view from, std::string_view to) {
+  std::string result(text);
+  const std::size_t at = result.find(from);
+  REQUIRE(at != std::string::npos);
+  return result.replace(at, from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("An entry of a target is decoded into the project's words") {
+  std::string fault;
+  const auto target = DecodeTarget("i-1", kTarget, At(1000), fault);
+  REQUIRE(target);
+  REQUIRE(target->id == "i-1");
+  REQUIRE(target->service == "huvo11a");
+  REQUIRE(target->slots == 4);
+  REQUIRE(target->cold_until == At(2500));
+  REQUIRE(target->started_at_ms == 1764850000123);
+  REQUIRE_FALSE(target->is_draining);
+  REQUIRE(DecodeTarget("i-1", Replaced(kTarget, "ready", "draining"), At(0), fault)->is_draining);
+}
+
+TEST_CASE("An entry of another writer is refused with its cause") {
+  const std::pair<std::string_view, std::string_view> faults[] = {
+      {R"("state":"ready")", R"("state":"resting")"},
+      {R"("state":"ready",)", ""},
+      {R"("maxConcurrency":4)", R"("maxConcurrency":"4")"},
+      {R"("maxConcurrency":4)", R"("maxConcurrency":0)"},
+      {R"("maxConcurrency":4)", R"("maxConcurrency":-1)"},
+      {R"("maxConcurrency":4)", R"("maxConcurrency":4.5)"},
+      {"10.128.0.9:8080", "10.128.0.9"},
+      {"1500ms", "soon"},
+      {R"("zone":"hel-a")", R"("zone":7)"},
+      {R"({"service")", R"(["service")"}};
+  for (const auto& [from, to] : faults) {
+    std::string fault;
+    INFO(to);
+    REQUIRE_FALSE(DecodeTarget("i-1", Replaced(kTarget, from, to), At(0), fault));
+    REQUIRE_FALSE(fault.empty());
+  }
+}
+
+TEST_CASE("A configuration is decoded with all routes and services") {
+  std::string fault;
+  const auto configuration = DecodeConfiguration(kConfiguration, fault);
+  REQUIRE(configuration);
+  REQUIRE(configuration->version == 12);
+  REQUIRE(configuration->routes.size() == 2);
+  const catalog::Route& one = configuration->routes[0];
+  REQUIRE_FALSE(one.is_idempotent);
+  REQUIRE(one.timeout == base::Duration::Milliseconds(1500));
+  REQUIRE(one.latency_objective == base::Duration::Milliseconds(300));
+  REQUIRE(one.has_affinity);
+  REQUIRE(one.allowed_regions == std::vector<std::string>{"x"});
+  const catalog::Route& two = configuration->routes[1];
+  REQUIRE(two.is_idempotent);
+  REQUIRE(two.services.size() == 2);
+  REQUIRE(two.services[1].weight == 10);
+  REQUIRE(configuration->services[0].cold_rate == 16);
+  REQUIRE(configuration->limits.idle_time == base::Duration::Seconds(15));
+}
+
+TEST_CASE("A configuration that cannot be read whole is refused") {
+  for (const auto& [from, to] : {std::pair<std::string_view, std::string_view>{"0000000c", "x"},
+                                 {R"("timeout":"1.2s")", R"("timeout":"1.2")"},
+                                 {R"("pathPrefix":"/b/",)", ""},
+                                 {"]}]}", "]}"}}) {
+    std::string fault;
+    REQUIRE_FALSE(DecodeConfiguration(Replaced(kConfiguration, from, to), fault));
+    REQUIRE_FALSE(fault.empty());
+  }
+}
+
+TEST_CASE("Base64 goes both ways and refuses other text") {
+  for (const std::string bytes : {"", "a", "ab", "abc", "abcd", "\xff\xfe"}) {
+    REQUIRE(DecodeBase64(EncodeBase64(bytes)) == bytes);
+  }
+  REQUIRE(EncodeBase64("node-1") == "bm9kZS0x");
+  REQUIRE_FALSE(DecodeBase64("abc"));
+  REQUIRE_FALSE(DecodeBase64("a-c="));
+}
+
+}  // namespace mangonotch::platform
--- /dev/null
+++ b/src/platform/tests/traffic_codec_test.cc
@@ -0,0 +1,111 @@
+// Guards what a target's answer proves: a wrong reading runs a filing twice or denies that it ran.
+#include "platform/traffic_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::platform {
+namespace {
+
+using steering::AttemptResult;
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+http1::Request MakeRequest() {
+  return {.method = "GET",
+          .target = "/a/1?x=2",
+          .headers = {{"Host", "h.example"},
+                      {"X-Attempt-Id", "id-1"},
+                      {"Cookie", "other=1; X-Affinity-Key=17"},
+                      {"X-Timeout-Remaining", "1200"},
+                      {"X-Expected-Instance", "forged"},
+                      {"Connection", "keep-alive, X-Private"},
+                      {"X-Private", "1"},
+                      {"Accept", "*/*"}}};
+}
+
+http1::Response MakeResponse(unsigned status, http1::Headers headers) {
+  return {.status = status, .headers = std::move(headers), .body = "body"};
+}
+
+AttemptResult ResultOf(unsigned status, http1::Headers headers) {
+  return PlatformTrafficCodec().Outcome(MakeResponse(status, std::move(headers))).result;
+}
+
+}  // namespace
+
+TEST_CASE("The facts of a request come from its headers") {
+  const http1::Request request = MakeRequest();
+  const auto facts = PlatformTrafficCodec().Facts(request, At(0));
+  REQUIRE(facts.host == "h.example");
+  REQUIRE(facts.deadline == At(1200));
+  REQUIRE(facts.affinity_key != 0);
+  http1::Request plain = request;
+  plain.headers = {{"Host", "h.example"}, {"X-Timeout-Remaining", "soon"}};
+  REQUIRE(PlatformTrafficCodec().Facts(plain, At(0)).affinity_key == 0);
+  REQUIRE(PlatformTrafficCodec().Facts(plain, At(0)).deadline == base::Instant::Never());
+}
+
+TEST_CASE("A target gets the request unchanged, the time left and its own name") {
+  const std::string bytes = PlatformTrafficCodec().Encode(
+      MakeRequest(), {.number = 1, .target_id = "i-7", .deadline = At(900)}, At(100));
+  REQUIRE(bytes.starts_with("GET /a/1?x=2 HTTP/1.1\r\n"));
+  REQUIRE(bytes.find("X-Timeout-Remaining: 800\r\n") != std::string::npos);
+  REQUIRE(bytes.find("X-Expected-Instance: i-7\r\n") != std::string::npos);
+  REQUIRE(bytes.find("X-Attempt-Id: id-1\r\n") != std::string::npos);
+  REQUIRE(bytes.find("Accept: */*\r\n") != std::string::npos);
+  REQUIRE(bytes.find("forged") == std::string::npos);
+  REQUIRE(bytes.find("1200") == std::string::npos);
+  REQUIRE(bytes.find("X-Private") == std::string::npos);
+  REQUIRE(bytes.find("Connection") == std::string::npos);
+}
+
+TEST_CASE("Only the target's own word proves that a request did not run") {
+  REQUIRE(ResultOf(503, {{"X-Not-Executed", "1"}}) == AttemptResult::kNotRun);
+  REQUIRE(ResultOf(429, {{"X-Not-Executed", "1"}}) == AttemptResult::kNotRun);
+  REQUIRE(ResultOf(421, {}) == AttemptResult::kMisdirected);
+  for (const unsigned status : {503U, 429U, 408U}) {
+    REQUIRE(ResultOf(status, {{"X-Response-Signature", "s"}}) == AttemptResult::kLost);
+  }
+  REQUIRE(ResultOf(500, {{"X-Response-Signature", "s"}}) == AttemptResult::kFailed);
+  REQUIRE(ResultOf(504, {}) == AttemptResult::kFailed);
+}
+
+TEST_CASE("A success counts only with the target's signature") {
+  REQUIRE(ResultOf(200, {{"X-Response-Signature", "s"}}) == AttemptResult::kAnswered);
+  REQUIRE(ResultOf(200, {}) == AttemptResult::kLost);
+}
+
+TEST_CASE("An answer to another request is told by its identifier") {
+  const PlatformTrafficCodec codec;
+  const http1::Request request = MakeRequest();
+  REQUIRE(codec.Belongs(request, MakeResponse(200, {{"X-Attempt-Id", "id-1"}})));
+  REQUIRE_FALSE(codec.Belongs(request, MakeResponse(200, {{"X-Attempt-Id", "id-0"}})));
+  REQUIRE_FALSE(codec.Belongs(request, MakeResponse(200, {})));
+  REQUIRE(codec.Belongs(request, MakeResponse(503, {{"X-Not-Executed", "1"}})));
+}
+
+TEST_CASE("A load report has three figures or four, and is left out otherwise") {
+  const auto load = [](const std::string& text) {
+    return PlatformTrafficCodec().Outcome(MakeResponse(200, {{"X-Server-Load", text}})).load;
+  };
+  REQUIRE(load("3,1,8") == steering::LoadReport{3, 1, 8, 100});
+  REQUIRE(load("3, 1, 8, 250") == steering::LoadReport{3, 1, 8, 250});
+  for (const char* text : {"", "3", "3,1", "a,b,c", "3,-1,8", "3,1,8,x"}) REQUIRE_FALSE(load(text));
+}
+
+TEST_CASE("Refusals tell the truth in their status and say when to come back") {
+  const PlatformTrafficCodec codec;
+  const auto conclude = [&](steering::ConclusionKind kind) {
+    return codec.Conclude(MakeRequest(), {.kind = kind,
+                                          .reason = steering::ConclusionReason::kNoRoom,
+                                          .retry_after = base::Duration::Milliseconds(250)});
+  };
+  const auto not_run = conclude(steering::ConclusionKind::kNotRun);
+  REQUIRE(not_run.status == 503);
+  REQUIRE(http1::FindHeader(not_run.headers, "Retry-After") == "0.250");
+  REQUIRE(conclude(steering::ConclusionKind::kMayHaveRun).status == 502);
+  REQUIRE(conclude(steering::ConclusionKind::kTimedOut).status == 504);
+  REQUIRE(conclude(steering::ConclusionKind::kNoRoute).status == 404);
+}
+
+}  // namespace mangonotch::platform
--- a/src/steering/placement.h
+++ b/src/steering/placement.h
@@ -25,7 +25,7 @@
   /// Weight of the local region's slots in the order of affinity, relative to other regions'.
   double local_weight = 10;
   /// Targets of these ranks, from 0, are expected to hold an object.
-  std::uint32_t home_ranks = 4;
+  std::uint32_t home_ranks = 3;
   /// Other targets take a request only while less than this share of their slots is taken: it runs
   /// long there and drives out objects that others need.
   double foreign_share = 0.5;
--- /dev/null
+++ b/src/steering/tests/engine_harness.h
@@ -0,0 +1,135 @@
+// Plays requests through the engine against a port that records its orders.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "catalog/catalog.h"
+#include "steering/engine.h"
+
+namespace mangonotch::steering {
+
+struct SilentObserver {
+  void OnSent(const Exchange&, const Choice&, base::Instant) {}
+  void OnWaiting(const Exchange&, const Choice&, base::Instant) {}
+  void OnOutcome(const Exchange&, AttemptNumber, const AttemptOutcome&, base::Instant) {}
+  void OnRepeat(const Exchange&, RepeatReason, base::Instant) {}
+  void OnRepeatDenied(const Exchange&, RepeatReason, base::Instant) {}
+  void OnDelivered(const Exchange&, AttemptNumber, base::Instant) {}
+  void OnConcluded(const Exchange&, const Conclusion&, base::Instant) {}
+  void OnCallerGone(const Exchange&, base::Instant) {}
+};
+
+struct RecordingPort {
+  struct Sent {
+    ExchangeId id = 0;
+    AttemptOrder order;
+  };
+  struct Concluded {
+    ExchangeId id = 0;
+    Conclusion conclusion;
+  };
+
+  void SendAttempt(ExchangeId id, const AttemptOrder& order) { sent.push_back({id, order}); }
+  void CancelAttempt(ExchangeId id, AttemptNumber number) { cancelled.emplace_back(id, number); }
+  void DeliverAnswer(ExchangeId id, AttemptNumber number) { delivered.emplace_back(id, number); }
+  void Conclude(ExchangeId id, const Conclusion& conclusion) {
+    concluded.push_back({id, conclusion});
+  }
+
+  std::vector<Sent> sent;
+  std::vector<std::pair<ExchangeId, AttemptNumber>> cancelled;
+  std::vector<std::pair<ExchangeId, AttemptNumber>> delivered;
+  std::vector<Concluded> concluded;
+};
+
+/// Milliseconds since the start of a test.
+inline base::Instant At(std::int64_t ms) {
+  return base::Instant() + base::Duration::Milliseconds(1'000'000 + ms);
+}
+
+inline catalog::Target MakeTarget(const std::string& id, const std::string& service = "status",
+                                  const std::string& zone = "a1", std::uint32_t slots = 2) {
+  catalog::Target target;
+  target.id = id;
+  target.service = service;
+  target.zone = zone;
+  target.slots = slots;
+  return target;
+}
+
+inline catalog::Route MakeRoute(const std::string& prefix, bool is_idempotent,
+                                const std::string& service = "status") {
+  catalog::Route route;
+  route.name = prefix;
+  route.host = "h.example";
+  route.path_prefix = prefix;
+  route.is_idempotent = is_idempotent;
+  route.max_attempts = 2;
+  route.timeout = base::Duration::Milliseconds(1000);
+  route.latency_objective = base::Duration::Milliseconds(300);
+  route.services = {{.service = service, .weight = 1}};
+  return route;
+}
+
+/// One host in region A with an idempotent route /look/ and a non-idempotent one /file/.
+class EngineHarness {
+ public:
+  explicit EngineHarness(std::vector<catalog::Target> targets, std::uint32_t allowance = 100)
+      : engine(Settings(allowance), port, observer) {
+    configuration.version = 1;
+    configuration.routes = {MakeRoute("/look/", true), MakeRoute("/file/", false)};
+    configuration.services = {{.name = "status",
+                               .health_path = {},
+                               .max_connections = 0,
+                               .cold_time = base::Duration::Seconds(3),
+                               .cold_rate = 16}};
+    Apply(std::move(targets), 0);
+  }
+
+  void Apply(std::vector<catalog::Target> targets, std::int64_t ms) {
+    auto next = std::make_shared<catalog::Catalog>();
+    next->configuration = std::make_shared<const catalog::Configuration>(configuration);
+    next->targets = std::move(targets);
+    next->evacuated_zones = evacuated_zones;
+    engine.ApplyCatalog(next, At(ms));
+  }
+
+  ExchangeId Request(const std::string& target, std::int64_t ms, std::uint64_t key = 0,
+                     std::int64_t caller_waits_ms = 1000) {
+    const ExchangeId id = ++last_id;
+    engine.OnRequest(id,
+                     {.host = "h.example",
+                      .target = target,
+                      .affinity_key = key,
+                      .deadline = At(ms + caller_waits_ms)},
+                     At(ms));
+    return id;
+  }
+
+  void Outcome(ExchangeId id, AttemptResult result, std::int64_t ms, AttemptNumber number = 1) {
+    engine.OnOutcome(id, number, {.result = result}, At(ms));
+  }
+
+  /// Target of the last attempt.
+  const std::string& LastTarget() const { return port.sent.back().order.target_id; }
+
+  static EngineSettings Settings(std::uint32_t allowance) {
+    EngineSettings settings;
+    settings.region = "A";
+    settings.zones = {{"a1", "A"}, {"a2", "A"}, {"b1", "B"}};
+    settings.repeats = {.ratio = 0.2, .allowance = allowance};
+    return settings;
+  }
+
+  RecordingPort port;
+  SilentObserver observer;
+  Engine<RecordingPort, SilentObserver> engine;
+  catalog::Configuration configuration;
+  std::set<std::string, std::less<>> evacuated_zones;
+  ExchangeId last_id = 0;
+};
+
+}  // namespace mangonotch::steering
--- /dev/null
+++ b/src/steering/tests/engine_test.cc
@@ -0,0 +1,189 @@
+// Plays single requests through every way they can end.
+#include <catch2/catch.hpp>
+
+#include "steering/tests/engine_harness.h"
+
+namespace mangonotch::steering {
+
+TEST_CASE("An answer of the target is delivered and frees its slot") {
+  EngineHarness host({MakeTarget("t1")});
+  const ExchangeId id = host.Request("/look/1", 0);
+  REQUIRE(host.port.sent.size() == 1);
+  REQUIRE(host.port.sent[0].order.deadline == At(1000));
+  host.Outcome(id, AttemptResult::kAnswered, 50);
+  REQUIRE(host.port.delivered == std::vector{std::pair{id, AttemptNumber{1}}});
+  REQUIRE(host.engine.OwnLoads().empty());
+  REQUIRE_FALSE(host.engine.IsOpen(id));
+}
+
+// A failure here would run a filing twice.
+TEST_CASE("A non-idempotent request that may have run is never sent again") {
+  for (const AttemptResult result : {AttemptResult::kLost, AttemptResult::kFailed}) {
+    EngineHarness host({MakeTarget("t1"), MakeTarget("t2")});
+    const ExchangeId id = host.Request("/file/1", 0);
+    host.Outcome(id, result, 10);
+    host.engine.OnTime(At(900));
+    REQUIRE(host.port.sent.size() == 1);
+    if (result == AttemptResult::kLost) {
+      REQUIRE(host.port.concluded.at(0).conclusion.kind == ConclusionKind::kMayHaveRun);
+    } else {
+      REQUIRE(host.port.delivered.size() == 1);
+    }
+  }
+}
+
+TEST_CASE("A non-idempotent request that did not run goes to another target") {
+  for (const AttemptResult result :
+       {AttemptResult::kNotRun, AttemptResult::kMisdirected, AttemptResult::kNotSent}) {
+    EngineHarness host({MakeTarget("t1"), MakeTarget("t2")});
+    const ExchangeId id = host.Request("/file/1", 0);
+    const std::string first = host.LastTarget();
+    host.Outcome(id, result, 10);
+    REQUIRE(host.port.sent.size() == 2);
+    REQUIRE(host.LastTarget() != first);
+    REQUIRE(host.port.concluded.empty());
+  }
+}
+
+// A false "not run" makes the caller file a second time.
+TEST_CASE("After a lost answer a later refusal does not turn into not-run") {
+  EngineHarness host({MakeTarget("t1"), MakeTarget("t2")});
+  const ExchangeId id = host.Request("/look/1", 0);
+  host.Outcome(id, AttemptResult::kLost, 10);
+  REQUIRE(host.port.sent.size() == 2);
+  host.Outcome(id, AttemptResult::kNotRun, 20, 2);
+  REQUIRE(host.port.concluded.at(0).conclusion.kind == ConclusionKind::kMayHaveRun);
+}
+
+TEST_CASE("A request is sent to no more targets than its route allows") {
+  EngineHarness host({MakeTarget("t1"), MakeTarget("t2"), MakeTarget("t3"), MakeTarget("t4")});
+  const ExchangeId id = host.Request("/look/1", 0);
+  host.Outcome(id, AttemptResult::kLost, 10);
+  host.Outcome(id, AttemptResult::kLost, 20, 2);
+  REQUIRE(host.port.sent.size() == 2);
+  REQUIRE(host.port.concluded.at(0).conclusion.kind == ConclusionKind::kMayHaveRun);
+}
+
+TEST_CASE("Attempts that reached no target do not count towards the route's bound") {
+  EngineHarness host({MakeTarget("t1"), MakeTarget("t2"), MakeTarget("t3")});
+  const ExchangeId id = host.Request("/look/1", 0);
+  host.Outcome(id, AttemptResult::kNotSent, 10);
+  host.Outcome(id, AttemptResult::kNotSent, 20, 2);
+  REQUIRE(host.port.sent.size() == 3);
+}
+
+TEST_CASE("A spent repeat budget ends a failed request at once") {
+  EngineHarness host({MakeTarget("t1"), MakeTarget("t2")}, 0);
+  const ExchangeId id = host.Request("/look/1", 0);
+  host.Outcome(id, AttemptResult::kNotRun, 10);
+  REQUIRE(host.port.sent.size() == 1);
+  REQUIRE(host.port.concluded.at(0).conclusion.kind == ConclusionKind::kNotRun);
+}
+
+TEST_CASE("Idempotent work is cancelled when its caller leaves") {
+  EngineHarness host({MakeTarget("t1")});
+  const ExchangeId id = host.Request("/look/1", 0);
+  host.engine.OnCallerGone(id, At(10));
+  REQUIRE(host.port.cancelled == std::vector{std::pair{id, AttemptNumber{1}}});
+  REQUIRE_FALSE(host.engine.IsOpen(id));
+  REQUIRE(host.engine.OwnLoads().empty());
+}
+
+TEST_CASE("A filing that is under way runs to its end without its caller, and is not repeated") {
+  EngineHarness host({MakeTarget("t1"), MakeTarget("t2")});
+  const ExchangeId id = host.Request("/file/1", 0);
+  host.engine.OnCallerGone(id, At(10));
+  REQUIRE(host.port.cancelled.empty());
+  host.Outcome(id, AttemptResult::kNotRun, 20);
+  REQUIRE(host.port.sent.size() == 1);
+  REQUIRE(host.port.concluded.empty());
+  REQUIRE_FALSE(host.engine.IsOpen(id));
+}
+
+TEST_CASE("A request without an answer is ended at its route's time-out and cancelled") {
+  EngineHarness host({MakeTarget("t1")});
+  const ExchangeId id = host.Request("/look/1", 0, 0, 60'000);
+  while (host.engine.NextDeadline() < At(1500)) host.engine.OnTime(host.engine.NextDeadline());
+  REQUIRE(host.port.concluded.at(0).id == id);
+  REQUIRE(host.port.concluded.at(0).conclusion.kind == ConclusionKind::kTimedOut);
+  REQUIRE(host.port.cancelled.size() == 1);
+}
+
+TEST_CASE("A silent target's idempotent request gets a second attempt, and the first answer wins") {
+  EngineHarness host({MakeTarget("t1"), MakeTarget("t2")});
+  const ExchangeId id = host.Request("/look/1", 0, 0, 60'000);
+  host.engine.OnTime(host.engine.NextDeadline());
+  REQUIRE(host.port.sent.size() == 2);
+  host.Outcome(id, AttemptResult::kAnswered, 700, 2);
+  REQUIRE(host.port.delivered == std::vector{std::pair{id, AttemptNumber{2}}});
+  REQUIRE(host.port.cancelled == std::vector{std::pair{id, AttemptNumber{1}}});
+}
+
+TEST_CASE("Draining targets, evacuated zones and other regions of a bound route get nothing") {
+  catalog::Target draining = MakeTarget("draining");
+  draining.is_draining = true;
+  EngineHarness host({draining, MakeTarget("evacuated", "status", "a2"),
+                      MakeTarget("foreign", "status", "b1")});
+  host.configuration.routes[0].allowed_regions = {"A"};
+  host.evacuated_zones = {"a2"};
+  host.Apply({draining, MakeTarget("evacuated", "status", "a2"),
+              MakeTarget("foreign", "status", "b1")},
+             1);
+  host.Request("/look/1", 2);
+  REQUIRE(host.port.sent.empty());
+  REQUIRE(host.port.concluded.at(0).conclusion.reason == ConclusionReason::kNoTarget);
+}
+
+TEST_CASE("Without a configuration requests are refused as not run, without a route as unknown") {
+  RecordingPort port;
+  SilentObserver observer;
+  Engine<RecordingPort, SilentObserver> engine(EngineHarness::Settings(1), port, observer);
+  engine.OnRequest(1, {.host = "h.example", .target = "/look/1"}, At(0));
+  REQUIRE(port.concluded.at(0).conclusion.kind == ConclusionKind::kNotRun);
+  EngineHarness host({MakeTarget("t1")});
+  host.Request("/other/1", 0);
+  REQUIRE(host.port.concluded.at(0).conclusion.kind == ConclusionKind::kNoRoute);
+}
+
+TEST_CASE("Services of a route get their weights' shares exactly") {
+  EngineHarness host({});
+  host.configuration.routes[0].services = {{.service = "status", .weight = 90},
+                                           {.service = "other", .weight = 10}};
+  std::vector<catalog::Target> targets;
+  for (int i = 0; i < 60; ++i) {
+    targets.push_back(MakeTarget("s" + std::to_string(i), "status"));
+    targets.push_back(MakeTarget("o" + std::to_string(i), "other"));
+  }
+  host.Apply(targets, 0);
+  for (int i = 0; i < 100; ++i) host.Request("/look/1", i);
+  const auto other = std::count_if(host.port.sent.begin(), host.port.sent.end(),
+                                   [](const auto& it) { return it.order.target_id[0] == 'o'; });
+  REQUIRE(other == 10);
+}
+
+TEST_CASE("A cold target gets this host's part of its rate, and no more, however many ask") {
+  catalog::Target cold = MakeTarget("cold", "status", "a1", 100);
+  cold.cold_until = At(60'000);
+  EngineHarness host({cold});
+  host.engine.SetHosts(4);
+  for (int ms = 0; ms < 3000; ++ms) host.Request("/look/1", ms);
+  // A quarter of 16 a second over three seconds, and the first second's part once more.
+  REQUIRE(host.port.sent.size() <= 16);
+  REQUIRE(host.port.sent.size() >= 8);
+}
+
+TEST_CASE("A target that comes back under its name at another address starts without a past") {
+  EngineHarness host({MakeTarget("t1")});
+  for (int i = 0; i < 5; ++i) host.Outcome(host.Request("/look/1", i), AttemptResult::kLost, i);
+  catalog::Target again = MakeTarget("t1");
+  again.started_at_ms = 7;
+  host.Apply({again, MakeTarget("t2")}, 10);
+  std::set<std::string> used;
+  for (int i = 0; i < 4; ++i) {
+    host.Request("/look/1", 20);
+    used.insert(host.LastTarget());
+  }
+  REQUIRE(used.contains("t1"));
+}
+
+}  // namespace mangonotch::steering
