--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -11,6 +11,7 @@
 
 #include "app/internal/traffic_thread.h"
 #include "base/error.h"
+#include "base/hash.h"
 #include "discovery/registry.h"
 #include "fleet/members.h"
 #include "http1/clock.h"
@@ -36,12 +37,12 @@
 /// Targets whose entries lapsed in an outage of the store are back within two seconds of its
 /// return; the rest covers their own way to the store.
 constexpr Duration kRecoveryTime = Duration::Milliseconds(2500);
-/// Entries of targets change several times a second: watches are paced, below the time within
-/// which a leaving target must get no more work.
-constexpr platform::FeedPace kTargetsPace = {.wait = Duration::Milliseconds(1000),
-                                             .interval = Duration::Milliseconds(900)};
-constexpr platform::FeedPace kOrdersPace = {.wait = Duration::Milliseconds(4000),
-                                            .interval = Duration::Milliseconds(50)};
+/// Entries change in bursts, as many targets start or leave together: one watch takes a burst. The
+/// wait bounds the time in which a store that has fallen silent is noticed.
+constexpr platform::FeedPace kTargetsPace = {.wait = Duration::Milliseconds(3000),
+                                             .interval = Duration::Milliseconds(250)};
+constexpr platform::FeedPace kOrdersPace = {.wait = Duration::Milliseconds(3500),
+                                            .interval = Duration::Milliseconds(100)};
 /// A host that starts may hear of the others within this time.
 constexpr Duration kHearingTime = Duration::Milliseconds(1500);
 constexpr Duration kLookupTtl = Duration::Seconds(2);
@@ -66,6 +67,7 @@
                                           const settings::EdgeBounds& bounds) {
   steering::EngineSettings engine;
   engine.region = settings.region;
+  engine.host_key = base::Hash(settings.host);
   engine.zones = settings.zones;
   engine.repeats = {.ratio = bounds.retry_ratio,
                     .allowance = bounds.retry_allowance,
@@ -186,10 +188,9 @@
                     DrawIncarnation(), targets_sink_),
       orders_feed_(context_, store_, std::string(platform::kOrdersPrefix), kOrdersPace,
                    DrawIncarnation(), orders_sink_),
-      host_entry_(context_, store_, settings.host, settings.listen.peers,
-                  [this](const base::Endpoint& peers) {
-                    members_.AddContact(peers, http1::Now());
-                  }),
+      host_entry_(
+          context_, store_, settings.host, settings.listen.peers,
+          [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
       gossip_(context_, members_, registry_, DrawIncarnation(), GossipCallbacks()),
       readiness_(*this, settings.listen.readiness, &ReplyReadiness),
       lookup_(*this, settings.listen.lookup, &ReplyLookup),
@@ -249,6 +250,8 @@
   }
   const catalog::CatalogPtr catalog = registry_.TakeChange();
   if (!catalog) return;
+  // The other hosts learn of the change now and not with the next heartbeat.
+  if (HasFreshCatalog()) gossip_.AnnounceLocally();
   if (catalog->configuration && !std::exchange(has_configuration_, true)) {
     logging::Log(Level::kInfo, "configuration_known",
                  {{"version", catalog->configuration->version}});
@@ -264,8 +267,9 @@
     loads.push_back({it.target_key, it.in_flight});
   }
   const std::uint32_t hosts = members_.CountForSums(now);
-  traffic_.Post([this, loads = std::move(loads), hosts](TrafficThread::Front& front) {
-    front.ApplyPeers(loads, hosts);
+  traffic_.Post([this, loads = std::move(loads), hosts,
+                 local = members_.LocalKeys(now)](TrafficThread::Front& front) {
+    front.ApplyPeers(loads, hosts, local);
     std::vector<fleet::TargetLoad> own;
     for (const steering::PeerLoad& it : front.OwnLoads()) {
       own.push_back({it.target_key, it.in_flight});
@@ -274,8 +278,7 @@
   });
 }
 
-http1::Response EdgeHost::Control::ReplyReadiness(Control& control,
-                                                  const http1::Request& request) {
+http1::Response EdgeHost::Control::ReplyReadiness(Control& control, const http1::Request& request) {
   if (!platform::IsReadinessCheck(request)) return {.status = 404};
   return platform::ReadinessResponse(control.IsReady());
 }
@@ -283,8 +286,8 @@
 http1::Response EdgeHost::Control::ReplyLookup(Control& control, const http1::Request& request) {
   const auto query = platform::ParseResolve(request);
   if (!query) return {.status = 404};
-  const auto hosts = control.members_.Resolve(query->region, !control.IsReady(),
-                                              kMostLookupHosts, http1::Now());
+  const auto hosts =
+      control.members_.Resolve(query->region, !control.IsReady(), kMostLookupHosts, http1::Now());
   return platform::ResolveResponse(hosts, std::min(kLookupTtl, control.bounds_.lookup_ttl));
 }
 
--- a/src/edge/caller_front.h
+++ b/src/edge/caller_front.h
@@ -2,14 +2,13 @@
 // connections to targets.
 #pragma once
 
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -31,8 +30,9 @@
               Observer& observer);
 
   void ApplyCatalog(const catalog::CatalogPtr& catalog);
-  /// `hosts` is the number of hosts that sums over all hosts are divided by.
-  void ApplyPeers(std::span<const steering::PeerLoad> loads, std::uint32_t hosts);
+  /// As Engine::SetPeerLoads and Engine::SetHosts.
+  void ApplyPeers(std::span<const steering::PeerLoad> loads, std::uint32_t hosts,
+                  std::vector<std::uint64_t> local_hosts);
   std::vector<steering::PeerLoad> OwnLoads() const { return engine_.OwnLoads(); }
   /// Answers carry the wish to close from now on.
   void StartDraining() { server_.StartDraining(); }
--- a/src/edge/decision_log.h
+++ b/src/edge/decision_log.h
@@ -42,8 +42,8 @@
 
   void OnSent(const steering::Exchange& exchange, const steering::Choice& choice,
               base::Instant now);
-  void OnWaiting(const steering::Exchange& exchange, const steering::Choice& choice,
-                 base::Instant now);
+  void OnFull(const steering::Exchange& exchange, const steering::Choice& choice,
+              base::Duration delay, base::Instant now);
   void OnOutcome(const steering::Exchange& exchange, steering::AttemptNumber number,
                  const steering::AttemptOutcome& outcome, base::Instant now);
   void OnRepeat(const steering::Exchange& exchange, steering::RepeatReason reason,
--- a/src/edge/internal/caller_front.inl
+++ b/src/edge/internal/caller_front.inl
@@ -49,8 +49,9 @@
 
 template <TrafficCodec Codec, steering::DecisionObserver Observer>
 void CallerFront<Codec, Observer>::ApplyPeers(std::span<const steering::PeerLoad> loads,
-                                              std::uint32_t hosts) {
-  engine_.SetHosts(hosts);
+                                              std::uint32_t hosts,
+                                              std::vector<std::uint64_t> local_hosts) {
+  engine_.SetHosts(hosts, std::move(local_hosts));
   engine_.SetPeerLoads(loads, http1::Now());
   ArmTimer();
 }
--- a/src/edge/internal/decision_log.cc
+++ b/src/edge/internal/decision_log.cc
@@ -71,8 +71,7 @@
   if (it != outcomes_.end()) return it->second;
   return outcomes_
       .emplace(outcome, registry_.AddCounter("mangonotch_requests_total",
-                                             "Requests by how they ended",
-                                             {{"outcome", outcome}}))
+                                             "Requests by how they ended", {{"outcome", outcome}}))
       .first->second;
 }
 
@@ -97,12 +96,14 @@
           now);
 }
 
-void DecisionLog::OnWaiting(const steering::Exchange& exchange, const steering::Choice& choice,
-                            base::Instant now) {
+void DecisionLog::OnFull(const steering::Exchange& exchange, const steering::Choice& choice,
+                         base::Duration delay, base::Instant now) {
   stories_[exchange.id].had_trouble = true;
   AddStep(exchange,
-          "waits(queue=" + std::to_string(exchange.service->waiting()) +
-              ",best=" + choice.target->record().id + ")",
+          "full(targets=" + std::to_string(choice.candidates) + ",load=" +
+              std::to_string(choice.total_load) + "/" + std::to_string(choice.total_slots) +
+              ",queue=" + std::to_string(exchange.service->waiting()) + ",delay_ms=" +
+              std::to_string(delay.milliseconds()) + ",best=" + choice.target->record().id + ")",
           now);
 }
 
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -44,7 +44,8 @@
 }
 
 void Members::Expire(base::Instant now) {
-  std::erase_if(members_, [&](const auto& it) { return now - it.second.heard_at > timing_.memory; });
+  std::erase_if(members_,
+                [&](const auto& it) { return now - it.second.heard_at > timing_.memory; });
   std::erase_if(contacts_,
                 [&](const auto& it) { return now - it.second > timing_.contact_memory; });
 }
@@ -86,6 +87,15 @@
   return n;
 }
 
+std::vector<std::uint64_t> Members::LocalKeys(base::Instant now) const {
+  std::vector<std::uint64_t> keys;
+  for (const auto& [host, member] : members_) {
+    if (IsLocal(member) && now - member.heard_at <= timing_.memory)
+      keys.push_back(base::Hash(host));
+  }
+  return keys;
+}
+
 std::vector<TargetLoad> Members::PeerLoads(base::Instant now) const {
   std::map<std::uint64_t, std::uint32_t> sums;
   for (const auto& [host, member] : members_) {
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -49,6 +49,8 @@
   /// Hosts that may be alive, this one included.
   std::uint32_t CountForSums(base::Instant now) const;
   std::uint32_t CountLive(base::Instant now) const;
+  /// Keys of the other hosts of this region that may be alive: hashes of their names.
+  std::vector<std::uint64_t> LocalKeys(base::Instant now) const;
   /// Sum of the live other hosts' work for each target.
   std::vector<TargetLoad> PeerLoads(base::Instant now) const;
   /// Whether this host is to watch the store: each region has a few watchers, the first by name's
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -3,8 +3,6 @@
 // not.
 #pragma once
 
-#include <utility>
-
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -13,6 +11,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <utility>
 
 #include "base/random.h"
 #include "discovery/registry.h"
@@ -43,6 +42,8 @@
   void Start();
   /// Sends a heartbeat to all at once, beside those of the interval.
   void Announce();
+  /// The same to the hosts of this region.
+  void AnnounceLocally();
 
   // For the server of catalog changes.
 
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -52,17 +52,19 @@
 }
 
 void Gossip::Receive() {
-  socket_.async_receive_from(
-      boost::asio::buffer(buf_), from_, [this](boost::system::error_code ec, std::size_t n) {
-        if (ec == boost::asio::error::operation_aborted) return;
-        // Errors of earlier datagrams' receivers are reported here and concern nobody else.
-        if (!ec) {
-          if (const auto heartbeat = DecodeHeartbeat({buf_.data(), n})) {
-            members_.OnHeartbeat(*heartbeat, http1::Now());
-          }
-        }
-        Receive();
-      });
+  socket_.async_receive_from(boost::asio::buffer(buf_), from_,
+                             [this](boost::system::error_code ec, std::size_t n) {
+                               if (ec == boost::asio::error::operation_aborted) return;
+                               // Errors of earlier datagrams' receivers are reported here and
+                               // concern nobody else.
+                               if (!ec) {
+                                 if (const auto heartbeat = DecodeHeartbeat({buf_.data(), n})) {
+                                   members_.OnHeartbeat(*heartbeat, http1::Now());
+                                   if (heartbeat->has_fresh_catalog) FetchIfBehind();
+                                 }
+                               }
+                               Receive();
+                             });
 }
 
 void Gossip::Announce() {
@@ -72,6 +74,11 @@
   SendTo(contacts.unheard, false, contacts);
 }
 
+void Gossip::AnnounceLocally() {
+  const fleet::Members::ContactLists contacts = members_.Contacts();
+  SendTo(contacts.local, true, contacts);
+}
+
 void Gossip::SendTo(std::span<const base::Endpoint> receivers, bool with_loads,
                     const fleet::Members::ContactLists& contacts) {
   if (receivers.empty()) return;
@@ -94,7 +101,8 @@
 void Gossip::AddContacts(std::span<const base::Endpoint> contacts, fleet::Heartbeat& heartbeat) {
   // A different part each time, so that all are named in turn.
   for (std::size_t i = 0; i < std::min(contacts.size(), kNamedContacts); ++i) {
-    heartbeat.contacts.push_back(contacts[random_.Below(static_cast<std::uint32_t>(contacts.size()))]);
+    heartbeat.contacts.push_back(
+        contacts[random_.Below(static_cast<std::uint32_t>(contacts.size()))]);
   }
 }
 
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -38,12 +38,14 @@
 
 struct EngineSettings {
   std::string region;
+  /// Hash of this host's name.
+  std::uint64_t host_key = 0;
   /// Region of each availability zone.
   std::map<std::string, std::string, std::less<>> zones;
   PlacementSettings placement;
   RepeatLimits repeats;
   /// A cold target may get its rate in requests a second times this factor, from all hosts.
-  double cold_rate_factor = 1;
+  double cold_rate_factor = 0.9;
 };
 
 /// Requests that the other hosts have in flight at a target.
@@ -61,8 +63,12 @@
   Engine(EngineSettings settings, Port& port, Observer& observer);
 
   void ApplyCatalog(catalog::CatalogPtr catalog, base::Instant now);
-  /// Number of live hosts, this one included; sums over all hosts are divided by it.
-  void SetHosts(std::uint32_t hosts) { hosts_ = hosts; }
+  /// The hosts by which sums over all hosts are divided: their number, this one included, and the
+  /// keys of the others in this region.
+  void SetHosts(std::uint32_t hosts, std::vector<std::uint64_t> local_hosts) {
+    hosts_ = hosts;
+    local_hosts_ = std::move(local_hosts);
+  }
   /// Replaces what is known of other hosts' work.
   void SetPeerLoads(std::span<const PeerLoad> loads, base::Instant now);
   /// Work of this host, for the other hosts.
@@ -97,7 +103,9 @@
   void Dispatch(Exchange& exchange, base::Instant now);
   void WaitOrRefuse(Exchange& exchange, const Choice& choice, base::Instant now);
   void Send(Exchange& exchange, const Choice& choice, base::Instant now);
-  void Repeat(Exchange& exchange, AttemptResult failure, base::Instant now);
+  /// Position of this host in an order of the region's hosts that depends on the target alone.
+  std::size_t RankAmongHosts(std::uint64_t target_key) const;
+  void Repeat(Exchange& exchange, AttemptNumber failed, AttemptResult failure, base::Instant now);
   bool TryRepeat(Exchange& exchange, AttemptResult failure, base::Instant now);
   void Hedge(Exchange& exchange, base::Instant now);
   void Expire(Exchange& exchange, base::Instant now);
@@ -115,6 +123,7 @@
   Observer& observer_;
   Placement placement_;
   std::uint32_t hosts_ = 1;
+  std::vector<std::uint64_t> local_hosts_;
   catalog::CatalogPtr catalog_;
   catalog::RouteTable routes_;
   /// By name; entries stay, since exchanges refer to them.
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
 #include "steering/engine.h"
 
 namespace mangonotch::steering {
@@ -87,7 +88,8 @@
   for (const auto& it : exchange.service->targets()) {
     if (it->record().is_draining) continue;
     if (catalog_->evacuated_zones.contains(it->record().zone)) continue;
-    if (!regions.empty() && std::find(regions.begin(), regions.end(), it->region()) == regions.end())
+    if (!regions.empty() &&
+        std::find(regions.begin(), regions.end(), it->region()) == regions.end())
       continue;
     if (!with_ejected && it->IsEjected(now)) continue;
     if (!MaySendCold(*it, now)) continue;
@@ -102,10 +104,22 @@
 template <typename Port, DecisionObserver Observer>
 bool Engine<Port, Observer>::MaySendCold(TargetState& target, base::Instant now) {
   if (!target.IsCold(now)) return true;
-  const double rate = services_.find(target.record().service)->second.cold_rate();
+  const double rate =
+      settings_.cold_rate_factor * services_.find(target.record().service)->second.cold_rate();
   if (rate == 0) return true;
-  const double part = settings_.cold_rate_factor * rate / std::max(hosts_, 1U);
-  return target.RecentSends(now) + 1 <= std::max(part, 1.0);
+  // The rate is divided among the hosts of the target's region; the others send nothing.
+  if (target.region() != settings_.region) return false;
+  const double part = rate / static_cast<double>(local_hosts_.size() + 1);
+  if (part >= 1) return target.RecentSends(now) + 1 <= part;
+  return target.RecentSends(now) == 0 && RankAmongHosts(target.key()) + 1 <= rate;
+}
+
+template <typename Port, DecisionObserver Observer>
+std::size_t Engine<Port, Observer>::RankAmongHosts(std::uint64_t target_key) const {
+  const std::uint64_t own = base::Mix(settings_.host_key ^ target_key);
+  return static_cast<std::size_t>(
+      std::count_if(local_hosts_.begin(), local_hosts_.end(),
+                    [&](std::uint64_t it) { return base::Mix(it ^ target_key) < own; }));
 }
 
 template <typename Port, DecisionObserver Observer>
@@ -149,6 +163,7 @@
 void Engine<Port, Observer>::WaitOrRefuse(Exchange& exchange, const Choice& choice,
                                           base::Instant now) {
   const base::Duration delay = QueueDelay(*exchange.service);
+  observer_.OnFull(exchange, choice, delay, now);
   const bool is_in_time = now + delay + choice.estimate < exchange.deadline;
   const bool is_short = delay < exchange.route->latency_objective / kWaitDivisor;
   if (!is_in_time || !is_short) {
@@ -158,7 +173,6 @@
   }
   exchange.is_waiting = true;
   exchange.service->Enqueue(exchange);
-  observer_.OnWaiting(exchange, choice, now);
   const base::Instant give_up = now + exchange.route->latency_objective / kWaitDivisor;
   SetTimer(exchange, std::min(give_up, exchange.deadline));
 }
@@ -196,6 +210,10 @@
   attempt->is_open = false;
   const base::Duration elapsed = now - attempt->sent_at;
   attempt->target->OnOutcome(outcome, elapsed, attempt->had_free_slot, now);
+  // A target that cannot be reached may restart, and is cold then before its entry says so.
+  if (outcome.result == AttemptResult::kNotSent) {
+    attempt->target->MarkCold(now + exchange.service->cold_time());
+  }
   observer_.OnOutcome(exchange, number, outcome, now);
   if (outcome.result == AttemptResult::kNotSent || outcome.result == AttemptResult::kMisdirected) {
     attempt->has_arrived = false;
@@ -210,16 +228,17 @@
   } else if (exchange.is_caller_gone) {
     Forget(exchange);
   } else if (exchange.OpenAttempts() == 0) {
-    Repeat(exchange, outcome.result, now);
+    Repeat(exchange, number, outcome.result, now);
   }
   Pump(service, now);
 }
 
 template <typename Port, DecisionObserver Observer>
-void Engine<Port, Observer>::Repeat(Exchange& exchange, AttemptResult failure, base::Instant now) {
+void Engine<Port, Observer>::Repeat(Exchange& exchange, AttemptNumber failed, AttemptResult failure,
+                                    base::Instant now) {
   if (TryRepeat(exchange, failure, now)) return;
   if (failure == AttemptResult::kFailed) {
-    Finish(exchange, exchange.attempts.back().number, now);
+    Finish(exchange, failed, now);
   } else if (exchange.may_have_run) {
     Conclude(exchange, ConclusionKind::kMayHaveRun, ConclusionReason::kAnswerLost, {}, now);
   } else {
--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -22,7 +22,7 @@
   for (auto& [name, service] : services_) service.targets().clear();
   if (catalog_->configuration) {
     for (const catalog::Service& it : catalog_->configuration->services) {
-      ServiceOf(it.name).set_cold_rate(it.cold_rate);
+      ServiceOf(it.name).SetCold(it.cold_rate, it.cold_time);
     }
   }
   for (auto& [id, target] : targets_) target->SetListed(false);
--- a/src/steering/internal/placement.cc
+++ b/src/steering/internal/placement.cc
@@ -88,7 +88,11 @@
   std::optional<Choice> best;
   const std::vector<std::uint32_t> ranks =
       AffinityRanks(query.affinity_key, query.local_region, settings_.local_weight, candidates);
+  std::uint32_t total_load = 0;
+  std::uint32_t total_slots = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
+    total_load += candidates[i]->Load(query.now);
+    total_slots += candidates[i]->slots();
     const Choice choice{.target = candidates[i],
                         .estimate = Estimate(*candidates[i], ranks[i], query),
                         .rank = ranks[i],
@@ -98,6 +102,11 @@
       best = choice;
     }
   }
+  if (best) {
+    best->candidates = static_cast<std::uint32_t>(candidates.size());
+    best->total_load = total_load;
+    best->total_slots = total_slots;
+  }
   return best;
 }
 
--- a/src/steering/observer.h
+++ b/src/steering/observer.h
@@ -19,9 +19,10 @@
 concept DecisionObserver = requires(O& observer, const Exchange& exchange, const Choice& choice,
                                     const AttemptOutcome& outcome, AttemptNumber number,
                                     RepeatReason reason, const Conclusion& conclusion,
-                                    base::Instant now) {
+                                    base::Duration delay, base::Instant now) {
   observer.OnSent(exchange, choice, now);
-  observer.OnWaiting(exchange, choice, now);
+  /// No target has room; `delay` is the expected wait for one.
+  observer.OnFull(exchange, choice, delay, now);
   observer.OnOutcome(exchange, number, outcome, now);
   observer.OnRepeat(exchange, reason, now);
   observer.OnRepeatDenied(exchange, reason, now);
--- a/src/steering/placement.h
+++ b/src/steering/placement.h
@@ -25,7 +25,7 @@
   /// Weight of the local region's slots in the order of affinity, relative to other regions'.
   double local_weight = 10;
   /// Targets of these ranks, from 0, are expected to hold an object.
-  std::uint32_t home_ranks = 3;
+  std::uint32_t home_ranks = 2;
   /// Other targets take a request only while less than this share of their slots is taken: it runs
   /// long there and drives out objects that others need.
   double foreign_share = 0.5;
@@ -48,6 +48,10 @@
   base::Duration estimate{};
   /// Position by affinity, 0 first.
   std::uint32_t rank = 0;
+  /// Targets that were weighed, and the load and the slots of all of them together.
+  std::uint32_t candidates = 0;
+  std::uint32_t total_load = 0;
+  std::uint32_t total_slots = 0;
   /// The target has neither a free slot nor a free place in its queue.
   bool is_full = false;
 };
--- a/src/steering/service_state.h
+++ b/src/steering/service_state.h
@@ -29,8 +29,14 @@
   const std::vector<std::shared_ptr<TargetState>>& targets() const { return targets_; }
   std::uint32_t TotalSlots() const;
 
+  /// Requests a second that a cold target bears; 0 for no limit.
   double cold_rate() const { return cold_rate_; }
-  void set_cold_rate(double per_second) { cold_rate_ = per_second; }
+  /// How long a target is cold after its start.
+  base::Duration cold_time() const { return cold_time_; }
+  void SetCold(double per_second, base::Duration time) {
+    cold_rate_ = per_second;
+    cold_time_ = time;
+  }
 
   /// `expected` seeds the estimate before the first answer.
   base::Duration ServiceTime(base::Duration expected) const;
@@ -55,6 +61,7 @@
   RepeatBudget budget_;
   std::vector<std::shared_ptr<TargetState>> targets_;
   double cold_rate_ = 0;
+  base::Duration cold_time_;
   /// Milliseconds; 0 before the first answer.
   double service_ms_ = 0;
   std::set<QueueKey> queue_;
--- a/src/steering/tests/engine_harness.h
+++ b/src/steering/tests/engine_harness.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "catalog/catalog.h"
 #include "steering/engine.h"
 
@@ -13,7 +14,7 @@
 
 struct SilentObserver {
   void OnSent(const Exchange&, const Choice&, base::Instant) {}
-  void OnWaiting(const Exchange&, const Choice&, base::Instant) {}
+  void OnFull(const Exchange&, const Choice&, base::Duration, base::Instant) {}
   void OnOutcome(const Exchange&, AttemptNumber, const AttemptOutcome&, base::Instant) {}
   void OnRepeat(const Exchange&, RepeatReason, base::Instant) {}
   void OnRepeatDenied(const Exchange&, RepeatReason, base::Instant) {}
@@ -78,7 +79,10 @@
 class EngineHarness {
  public:
   explicit EngineHarness(std::vector<catalog::Target> targets, std::uint32_t allowance = 100)
-      : engine(Settings(allowance), port, observer) {
+      : EngineHarness(std::move(targets), Settings(allowance)) {}
+
+  EngineHarness(std::vector<catalog::Target> targets, EngineSettings settings)
+      : engine(std::move(settings), port, observer) {
     configuration.version = 1;
     configuration.routes = {MakeRoute("/look/", true), MakeRoute("/file/", false)};
     configuration.services = {{.name = "status",
--- a/src/steering/tests/engine_test.cc
+++ b/src/steering/tests/engine_test.cc
@@ -1,5 +1,7 @@
 // Plays single requests through every way they can end.
 #include <catch2/catch.hpp>
+#include <map>
+#include <set>
 
 #include "steering/tests/engine_harness.h"
 
@@ -122,13 +124,13 @@
 TEST_CASE("Draining targets, evacuated zones and other regions of a bound route get nothing") {
   catalog::Target draining = MakeTarget("draining");
   draining.is_draining = true;
-  EngineHarness host({draining, MakeTarget("evacuated", "status", "a2"),
-                      MakeTarget("foreign", "status", "b1")});
+  EngineHarness host(
+      {draining, MakeTarget("evacuated", "status", "a2"), MakeTarget("foreign", "status", "b1")});
   host.configuration.routes[0].allowed_regions = {"A"};
   host.evacuated_zones = {"a2"};
-  host.Apply({draining, MakeTarget("evacuated", "status", "a2"),
-              MakeTarget("foreign", "status", "b1")},
-             1);
+  host.Apply(
+      {draining, MakeTarget("evacuated", "status", "a2"), MakeTarget("foreign", "status", "b1")},
+      1);
   host.Request("/look/1", 2);
   REQUIRE(host.port.sent.empty());
   REQUIRE(host.port.concluded.at(0).conclusion.reason == ConclusionReason::kNoTarget);
@@ -165,13 +167,67 @@
   catalog::Target cold = MakeTarget("cold", "status", "a1", 100);
   cold.cold_until = At(60'000);
   EngineHarness host({cold});
-  host.engine.SetHosts(4);
+  host.engine.SetHosts(4, {11, 12, 13});
   for (int ms = 0; ms < 3000; ++ms) host.Request("/look/1", ms);
   // A quarter of 16 a second over three seconds, and the first second's part once more.
   REQUIRE(host.port.sent.size() <= 16);
   REQUIRE(host.port.sent.size() >= 8);
 }
 
+// With more hosts than requests a second, one request from each would be too many.
+TEST_CASE("Sixty hosts together keep to the rate of each cold target") {
+  constexpr std::uint64_t kHosts = 60;
+  std::map<std::string, int> sends;
+  for (std::uint64_t self = 1; self <= kHosts; ++self) {
+    std::vector<catalog::Target> targets;
+    for (int i = 0; i < 20; ++i) {
+      targets.push_back(MakeTarget("t" + std::to_string(i), "status", "a1", 100));
+      targets.back().cold_until = At(60'000);
+    }
+    EngineSettings settings = EngineHarness::Settings(100);
+    settings.host_key = base::Mix(self);
+    EngineHarness host(targets, settings);
+    std::vector<std::uint64_t> others;
+    for (std::uint64_t it = 1; it <= kHosts; ++it) {
+      if (it != self) others.push_back(base::Mix(it));
+    }
+    host.engine.SetHosts(kHosts, others);
+    for (int i = 0; i < 40; ++i) host.Request("/look/1", i);
+    for (const auto& it : host.port.sent) ++sends[it.order.target_id];
+  }
+  for (const auto& [id, n] : sends) REQUIRE(n <= 16);
+  REQUIRE(sends.size() == 20);
+}
+
+TEST_CASE("A cold target of another region gets nothing") {
+  catalog::Target cold = MakeTarget("cold", "status", "b1");
+  cold.cold_until = At(60'000);
+  EngineHarness host({cold});
+  host.Request("/look/1", 0);
+  REQUIRE(host.port.sent.empty());
+}
+
+// Delivering the other attempt's missing answer would tell the caller a success that nobody gave.
+TEST_CASE("With two attempts under way, the failure delivered is that of the attempt that failed") {
+  EngineHarness host({MakeTarget("t1"), MakeTarget("t2")});
+  const ExchangeId id = host.Request("/look/1", 0, 0, 60'000);
+  host.engine.OnTime(host.engine.NextDeadline());
+  REQUIRE(host.port.sent.size() == 2);
+  host.Outcome(id, AttemptResult::kLost, 600, 2);
+  host.Outcome(id, AttemptResult::kFailed, 700, 1);
+  REQUIRE(host.port.delivered == std::vector{std::pair{id, AttemptNumber{1}}});
+}
+
+// A crashed target comes back cold, and the other hosts' work alone may be all that it bears.
+TEST_CASE("A target that could not be reached is taken for cold") {
+  EngineHarness host({MakeTarget("t1", "status", "a1", 100)});
+  host.engine.SetHosts(16, std::vector<std::uint64_t>(15, 1));
+  host.Outcome(host.Request("/look/1", 0), AttemptResult::kNotSent, 1);
+  const std::size_t before = host.port.sent.size();
+  for (int ms = 1100; ms < 2000; ms += 10) host.Request("/look/1", ms);
+  REQUIRE(host.port.sent.size() <= before + 1);
+}
+
 TEST_CASE("A target that comes back under its name at another address starts without a past") {
   EngineHarness host({MakeTarget("t1")});
   for (int i = 0; i < 5; ++i) host.Outcome(host.Request("/look/1", i), AttemptResult::kLost, i);
