--- /dev/null
+++ b/src/http1/tests/loopback.h
@@ -0,0 +1,92 @@
+// Raw sockets on the loopback address for tests of the server and the client.
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/instant.h"
+#include "http1/clock.h"
+
+namespace mangonotch::http1 {
+
+/// 127.0.0.1 with a free port.
+inline const base::Endpoint kLoopback{.address = *base::ParseIpAddress("127.0.0.1"), .port = 0};
+
+inline base::Endpoint LoopbackAt(std::uint16_t port) {
+  return {.address = kLoopback.address, .port = port};
+}
+
+/// Runs `context` until `condition` holds; false when it does not within two seconds.
+inline bool RunContext(boost::asio::io_context& context, const std::function<bool()>& condition) {
+  const base::Instant end = Now() + base::Duration::Seconds(2);
+  while (Now() < end) {
+    context.restart();
+    context.run_for(std::chrono::milliseconds(5));
+    if (condition()) return true;
+  }
+  return false;
+}
+
+/// Gives what is on its way the time to arrive.
+inline void RunBriefly(boost::asio::io_context& context) {
+  context.restart();
+  context.run_for(std::chrono::milliseconds(60));
+}
+
+/// One end of a connection, read without blocking.
+class LoopbackSocket {
+ public:
+  explicit LoopbackSocket(std::uint16_t port) : socket_(context_) {
+    socket_.connect({boost::asio::ip::address_v4::loopback(), port});
+    socket_.non_blocking(true);
+  }
+  explicit LoopbackSocket(boost::asio::ip::tcp::acceptor& acceptor) : socket_(context_) {
+    acceptor.accept(socket_);
+    socket_.non_blocking(true);
+  }
+
+  void Send(const std::string& bytes) {
+    const std::size_t n = socket_.write_some(boost::asio::buffer(bytes));
+    if (n != bytes.size()) throw std::runtime_error("the socket's buffer is full");
+  }
+  void Close() { socket_.close(); }
+  /// Closes with a reset.
+  void Reset() {
+    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
+
+  /// All bytes so far.
+  const std::string& Received() {
+    char buf[4096];
+    boost::system::error_code ec;
+    while (!is_closed_) {
+      const std::size_t n = socket_.read_some(boost::asio::buffer(buf), ec);
+      if (ec == boost::asio::error::would_block) break;
+      if (ec) {
+        is_closed_ = true;
+        break;
+      }
+      received_.append(buf, n);
+    }
+    return received_;
+  }
+  /// The other side has closed.
+  bool IsClosed() {
+    Received();
+    return is_closed_;
+  }
+
+ private:
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string received_;
+  bool is_closed_ = false;
+};
+
+}  // namespace mangonotch::http1
--- /dev/null
+++ b/src/settings/tests/edge_settings_test.cc
@@ -0,0 +1,67 @@
+// Guards the settings of a host on the platform: every fault is named, none stops the check of the
+// others.
+#include "settings/edge_settings.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "jsonc/fault.h"
+
+namespace mangonotch::settings {
+namespace {
+
+constexpr std::string_view kSettings = R"({
+  // As the template renders it.
+  "host": "edge-hel-a-1", "region": "uusimaa", "zone": "hel-a",
+  "listen": {"callers": "10.1.0.15:8641", "readiness": "10.1.0.15:8640", "lookup": "10.1.0.15:8644",
+             "peers": "10.1.0.15:7620", "metrics": "10.1.0.15:8649"},
+  "zones": [{"zone": "hel-a", "region": "uusimaa"}, {"zone": "tre-a", "region": "pirkanmaa"}],
+  "seeds": ["10.1.0.15:8649", "10.2.0.42:8649"],
+  "store": "10.200.1.7:8642",
+  "bounds": {"retry_ratio": "0.2", "retry_window": "10s", "retry_allowance": "56", "stop_time": "6s",
+             "lookup_ttl": ""},
+  "descriptors": 4100
+})";
+
+std::string Replaced(std::string_view from, std::string_view to) {
+  std::string text(kSettings);
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+}  // namespace
+
+TEST_CASE("Settings of the platform's template are read") {
+  const EdgeSettings settings = EdgeSettings::Parse(kSettings, "f");
+  REQUIRE(settings.host == "edge-hel-a-1");
+  REQUIRE(settings.listen.peers.port == 7620);
+  REQUIRE(settings.zones.at("tre-a") == "pirkanmaa");
+  REQUIRE(settings.seeds.size() == 2);
+  REQUIRE(settings.bounds.retry_ratio == 0.2);
+  REQUIRE(settings.bounds.retry_allowance == 56);
+  REQUIRE(settings.bounds.lookup_ttl == EdgeBounds().lookup_ttl);
+  REQUIRE(settings.descriptors == 4100);
+}
+
+TEST_CASE("Each fault is named with its field") {
+  const std::pair<std::pair<std::string_view, std::string_view>, std::string_view> faults[] = {
+      {{"\"10.1.0.15:8641\"", "\"10.1.0.15\""}, "listen.callers"},
+      {{"\"zone\": \"hel-a\",", "\"zone\": \"hel-z\","}, "zones"},
+      {{"10.2.0.42:8649", "somewhere"}, "seeds[1]"},
+      {{"\"10s\"", "\"ten\""}, "bounds.retry_window"},
+      {{"\"0.2\"", "\"-1\""}, "bounds.retry_ratio"},
+      {{"4100", "1"}, "descriptors"},
+      {{"\"store\"", "\"shop\""}, "store"}};
+  for (const auto& [change, field] : faults) {
+    INFO(field);
+    try {
+      EdgeSettings::Parse(Replaced(change.first, change.second), "f");
+      FAIL("no fault was found");
+    } catch (const jsonc::FaultError& ex) {
+      REQUIRE(std::string(ex.what()).find(field) != std::string::npos);
+    }
+  }
+}
+
+}  // namespace mangonotch::settings
