--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -18,6 +18,8 @@
   base::Endpoint callers{};
   /// Where other hosts reach it, by UDP and TCP.
   base::Endpoint peers{};
+  /// Bandwidth of its link, in Mbit/s.
+  std::uint32_t link_mbps = 0;
 
   bool operator==(const HostRecord&) const = default;
 };
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -2,6 +2,7 @@
 #include "fleet/members.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -13,6 +14,13 @@
 /// Bounds the calls to a store that does not answer.
 constexpr std::uint32_t kMostTryingPerRegion = 5;
 
+/// Lower ranks watch first.
+using WatcherRank = std::pair<std::int64_t, std::uint64_t>;
+
+WatcherRank RankOf(const HostRecord& record) {
+  return {-static_cast<std::int64_t>(record.link_mbps), base::Hash(record.host)};
+}
+
 }  // namespace
 
 bool Members::OnHeartbeat(const Heartbeat& heartbeat, base::Instant now) {
@@ -109,11 +117,11 @@
 }
 
 bool Members::ShouldWatchStore(base::Instant now) const {
-  const std::uint64_t own_rank = base::Hash(self_.host);
+  const WatcherRank own_rank = RankOf(self_);
   std::uint32_t fresh = 0;
   std::uint32_t trying = 0;
   for (const auto& [host, member] : members_) {
-    const bool is_before = base::Hash(host) < own_rank;
+    const bool is_before = RankOf(member.last.sender) < own_rank;
     if (!is_before || !IsLocal(member) || !IsLive(member, now) || member.last.is_leaving) continue;
     fresh += member.last.has_fresh_catalog ? 1 : 0;
     trying += member.last.watches_store ? 1 : 0;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -53,8 +53,9 @@
   std::vector<std::uint64_t> LocalKeys(base::Instant now) const;
   /// Sum of the live other hosts' work for each target.
   std::vector<TargetLoad> PeerLoads(base::Instant now) const;
-  /// Whether this host is to watch the store: each region has a few watchers, the first by name's
-  /// hash of those that live, and more while some of these cannot reach the store.
+  /// Whether this host is to watch the store: each region has a few watchers, the first of those
+  /// that live by bandwidth and then by hash of the name, and more while some of these cannot reach
+  /// the store. A watcher sends each change to the whole region, so a narrow link delays all.
   bool ShouldWatchStore(base::Instant now) const;
   /// The heartbeat of a live host with a fresh catalog, of this region if there is one; null when
   /// there is none.
--- a/src/fleet/tests/members_test.cc
+++ b/src/fleet/tests/members_test.cc
@@ -18,7 +18,8 @@
   return {.host = host,
           .zone = zone,
           .callers = EndpointOf(port),
-          .peers = EndpointOf(static_cast<std::uint16_t>(port + 1000))};
+          .peers = EndpointOf(static_cast<std::uint16_t>(port + 1000)),
+          .link_mbps = 100};
 }
 
 Heartbeat BeatOf(const HostRecord& record, std::uint64_t sequence = 1) {
@@ -39,8 +40,7 @@
   Members members = MembersOf(kSelf);
   members.OnHeartbeat(BeatOf(kNear), At(0));
   members.OnHeartbeat(BeatOf(kFar), At(0));
-  REQUIRE(members.Resolve("A", false, 64, At(100)) ==
-          std::vector{kSelf.callers, kNear.callers});
+  REQUIRE(members.Resolve("A", false, 64, At(100)) == std::vector{kSelf.callers, kNear.callers});
   REQUIRE(members.Resolve("B", false, 64, At(100)) == std::vector{kFar.callers});
 }
 
@@ -114,6 +114,27 @@
   REQUIRE(watchers(true) == 2);
 }
 
+// On a link of 10 Mbit/s, 200 kB for each of twenty hosts took longer than a change may.
+TEST_CASE("Hosts with wide links watch before those with narrow ones") {
+  HostRecord wide = kNear;
+  wide.link_mbps = 200;
+  HostRecord narrow = kSelf;
+  narrow.link_mbps = 10;
+  Members members = MembersOf(narrow);
+  for (int i = 0; i < 2; ++i) {
+    wide.host = "wide-" + std::to_string(i);
+    Heartbeat beat = BeatOf(wide);
+    beat.has_fresh_catalog = true;
+    members.OnHeartbeat(beat, At(0));
+  }
+  REQUIRE_FALSE(members.ShouldWatchStore(At(1)));
+  HostRecord widest = kSelf;
+  widest.link_mbps = 1000;
+  Members others = MembersOf(widest);
+  others.OnHeartbeat(BeatOf(wide), At(0));
+  REQUIRE(others.ShouldWatchStore(At(1)));
+}
+
 TEST_CASE("Addresses named by others are tried, and forgotten when nobody answers there") {
   Members members = MembersOf(kSelf);
   Heartbeat beat = BeatOf(kNear);
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -69,7 +69,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, HostRecord& it) {
-  archive(it.host, it.zone, it.callers, it.peers);
+  archive(it.host, it.zone, it.callers, it.peers, it.link_mbps);
 }
 
 template <typename Archive>
--- a/src/settings/edge_settings.h
+++ b/src/settings/edge_settings.h
@@ -54,6 +54,8 @@
   std::vector<base::IpAddress> seeds;
   base::Endpoint store;
   EdgeBounds bounds;
+  /// Bandwidth of this host's link, in Mbit/s.
+  std::uint32_t link_mbps = 100;
   /// Descriptors that the process may open.
   std::size_t descriptors = 1024;
   logging::Level log_level = logging::Level::kInfo;
--- a/src/settings/internal/edge_settings.cc
+++ b/src/settings/internal/edge_settings.cc
@@ -105,14 +105,14 @@
   if (const auto bounds = reader.ObjectIfAny("bounds")) settings.bounds = ReadBounds(*bounds);
   settings.descriptors = static_cast<std::size_t>(reader.IntegerOr(
       "descriptors", {kFewestDescriptors, kMostDescriptors}, static_cast<std::int64_t>(1024)));
+  settings.link_mbps = static_cast<std::uint32_t>(
+      NumberOr(reader, "link_mbps", static_cast<double>(settings.link_mbps)));
   settings.log_level = ReadLogLevel(reader);
   reader.RefuseUnknownFields();
   faults.ThrowIfAny("read settings");
   return settings;
 }
 
-EdgeSettings EdgeSettings::ReadFile(const std::string& path) {
-  return Parse(ReadText(path), path);
-}
+EdgeSettings EdgeSettings::ReadFile(const std::string& path) { return Parse(ReadText(path), path); }
 
 }  // namespace mangonotch::settings
