--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -52,9 +52,9 @@
                      ' ', kVersion);
   const char* const path = std::getenv(kSettingsVariable);
   TCLAP::UnlabeledValueArg<std::string> file(
-      "settings", std::string("settings file of this host; by default the path in ") +
-                      kSettingsVariable,
-      false, path == nullptr ? "" : path, "file", cmd);
+      "settings",
+      std::string("settings file of this host; by default the path in ") + kSettingsVariable, false,
+      path == nullptr ? "" : path, "file", cmd);
   ParseArguments(cmd, args);
   const auto settings = settings::EdgeSettings::ReadFile(file.getValue());
   signal(SIGPIPE, SIG_IGN);
--- a/src/app/internal/traffic_thread.h
+++ b/src/app/internal/traffic_thread.h
@@ -2,11 +2,10 @@
 // are posted to it.
 #pragma once
 
-#include <utility>
-
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <thread>
+#include <utility>
 
 #include "edge/caller_front.h"
 #include "edge/decision_log.h"
--- a/src/catalog/tests/route_table_test.cc
+++ b/src/catalog/tests/route_table_test.cc
@@ -23,9 +23,9 @@
 }  // namespace
 
 TEST_CASE("The longest prefix of the host's routes wins") {
-  const RouteTable table = TableOf({MakeRoute("short", "a.example", "/x/"),
-                                    MakeRoute("long", "a.example", "/x/y/"),
-                                    MakeRoute("other", "b.example", "/x/y/z/")});
+  const RouteTable table =
+      TableOf({MakeRoute("short", "a.example", "/x/"), MakeRoute("long", "a.example", "/x/y/"),
+               MakeRoute("other", "b.example", "/x/y/z/")});
   REQUIRE(table.Find("a.example", "/x/y/z/1")->name == "long");
   REQUIRE(table.Find("a.example", "/x/1")->name == "short");
   REQUIRE(table.Find("A.Example:8080", "/x/y/?q=/x/y/z/")->name == "long");
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -55,8 +55,8 @@
 void Registry::PutConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
                                 StoreRevision revision) {
   orders_revision_ = std::max(orders_revision_, revision);
-  const bool is_newer = configuration && (!configuration_ ||
-                                          configuration->version > configuration_->version);
+  const bool is_newer =
+      configuration && (!configuration_ || configuration->version > configuration_->version);
   if (!is_newer) return;
   configuration_ = std::move(configuration);
   orders_sequence_ = ++sequence_;
@@ -137,11 +137,11 @@
 }
 
 CatalogChanges Registry::ChangesSince(std::uint64_t sequence) const {
-  CatalogChanges changes{.sequence = sequence_,
-                         .is_full = sequence == 0 || sequence < forgotten_sequence_ ||
-                                    sequence > sequence_,
-                         .targets_revision = targets_revision_,
-                         .orders_revision = orders_revision_};
+  CatalogChanges changes{
+      .sequence = sequence_,
+      .is_full = sequence == 0 || sequence < forgotten_sequence_ || sequence > sequence_,
+      .targets_revision = targets_revision_,
+      .orders_revision = orders_revision_};
   for (const auto& [id, entry] : targets_) {
     if (changes.is_full || entry.sequence > sequence) {
       changes.targets.push_back({entry.target, entry.revision});
--- a/src/edge/internal/target_pool.cc
+++ b/src/edge/internal/target_pool.cc
@@ -11,13 +11,12 @@
 /// A request sent this close to the target's time-out may cross its close.
 constexpr base::Duration kCloseMargin = base::Duration::Milliseconds(700);
 
-constexpr http1::ClientLimits kTargetLimits = {
-    .connect_time = base::Duration::Milliseconds(300)};
+constexpr http1::ClientLimits kTargetLimits = {.connect_time = base::Duration::Milliseconds(300)};
 
 bool IsSafe(const http1::ClientConnection& connection, base::Instant now) {
   const bool is_named = connection.usable_until() != base::Instant::Never();
-  const base::Instant until = is_named ? connection.usable_until()
-                                       : connection.idle_since() + kUnknownKeepAlive;
+  const base::Instant until =
+      is_named ? connection.usable_until() : connection.idle_since() + kUnknownKeepAlive;
   return connection.is_reusable() && now + kCloseMargin < until;
 }
 
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -2,8 +2,6 @@
 // answer. Notices when the server closes it while it is idle.
 #pragma once
 
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/endpoint.h"
 #include "base/instant.h"
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -16,8 +16,7 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16 * 1024;
-using UserTimeout =
-    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 /// The time-out that a Keep-Alive header names; nothing without one.
 std::optional<base::Duration> KeepAliveTime(const Response& response) {
@@ -58,10 +57,9 @@
     if (ec || self->is_connected_ || self->is_closed_) return;
     self->Finish(ExchangeError::kNotSent, "connect timed out", {});
   });
-  socket_.async_connect(ToAsio(server),
-                        [self = shared_from_this()](boost::system::error_code ec) {
-                          if (!self->is_closed_) self->OnConnected(ec);
-                        });
+  socket_.async_connect(ToAsio(server), [self = shared_from_this()](boost::system::error_code ec) {
+    if (!self->is_closed_) self->OnConnected(ec);
+  });
 }
 
 void ClientConnection::OnConnected(boost::system::error_code ec) {
@@ -107,12 +105,11 @@
 void ClientConnection::Read() {
   if (is_reading_ || is_closed_) return;
   is_reading_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
-        self->is_reading_ = false;
-        if (!self->is_closed_) self->OnRead(ec, n);
-      });
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
+                            self->is_reading_ = false;
+                            if (!self->is_closed_) self->OnRead(ec, n);
+                          });
 }
 
 void ClientConnection::OnRead(boost::system::error_code ec, std::size_t n) {
--- a/src/http1/internal/message.cc
+++ b/src/http1/internal/message.cc
@@ -3,15 +3,14 @@
 
 #include <algorithm>
 #include <array>
-#include <ostream>  // Boost 1.74 needs it before the next header.
-
 #include <boost/beast/http/status.hpp>
+#include <ostream>  // Boost 1.74 needs it before the next header.
 
 namespace mangonotch::http1 {
 namespace {
 
 constexpr std::array<std::string_view, 10> kHopByHop = {
-    "connection",       "keep-alive", "proxy-connection", "te",      "trailer",
+    "connection",        "keep-alive", "proxy-connection", "te",     "trailer",
     "transfer-encoding", "upgrade",    "content-length",   "expect", "proxy-authorization"};
 
 char Lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
@@ -51,9 +50,8 @@
 }  // namespace
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(),
-                    [](char x, char y) { return Lower(x) == Lower(y); });
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(),
+                                            [](char x, char y) { return Lower(x) == Lower(y); });
 }
 
 std::string_view FindHeader(std::span<const Header> headers, std::string_view name) {
--- a/src/http1/internal/server.inl
+++ b/src/http1/internal/server.inl
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "base/error.h"
-#include "http1/clock.h"
 #include "http1/asio_address.h"
+#include "http1/clock.h"
 #include "http1/internal/server_connection.h"
 #include "http1/server.h"
 
@@ -45,11 +45,10 @@
 
 template <typename Handler>
 void Server<Handler>::Accept() {
-  acceptor_.async_accept(
-      [this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
-        if (ec == boost::asio::error::operation_aborted) return;
-        OnAccept(ec, std::move(socket));
-      });
+  acceptor_.async_accept([this](boost::system::error_code ec, boost::asio::ip::tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted) return;
+    OnAccept(ec, std::move(socket));
+  });
 }
 
 template <typename Handler>
--- a/src/http1/internal/server_connection.h
+++ b/src/http1/internal/server_connection.h
@@ -1,8 +1,6 @@
 // One connection of a caller: reads and parses requests, keeps the replies in their order.
 #pragma once
 
-#include <utility>
-
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -11,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "http1/message.h"
 #include "http1/server.h"
--- a/src/http1/internal/server_connection.inl
+++ b/src/http1/internal/server_connection.inl
@@ -46,11 +46,9 @@
 void ServerConnection<Handler>::Read() {
   if (server_ == nullptr || is_reading_ || IsReadPaused()) return;
   is_reading_ = true;
-  socket_.async_read_some(
-      buffer_.prepare(kReadBytes),
-      [self = this->shared_from_this()](boost::system::error_code ec, std::size_t n) {
-        self->OnRead(ec, n);
-      });
+  socket_.async_read_some(buffer_.prepare(kReadBytes), [self = this->shared_from_this()](
+                                                           boost::system::error_code ec,
+                                                           std::size_t n) { self->OnRead(ec, n); });
 }
 
 template <typename Handler>
@@ -107,8 +105,7 @@
 template <typename Handler>
 void ServerConnection<Handler>::Reject(unsigned status) {
   ++server_->counts_.malformed_requests;
-  slots_.push_back({.close = true,
-                    .answer = Serialize(Response{.status = status}, true, false)});
+  slots_.push_back({.close = true, .answer = Serialize(Response{.status = status}, true, false)});
   is_finishing_ = true;
   WriteNext();
   Read();
--- a/src/http1/internal/write_all.h
+++ b/src/http1/internal/write_all.h
@@ -1,12 +1,11 @@
 // Writes a whole string to a socket.
 #pragma once
 
-#include <utility>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
+#include <utility>
 
 namespace mangonotch::http1 {
 
--- a/src/http1/post.h
+++ b/src/http1/post.h
@@ -1,10 +1,9 @@
 // Hands a task to an Asio context.
 #pragma once
 
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace mangonotch::http1 {
 
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -2,8 +2,6 @@
 // hands each to the handler and writes the answers in the order of the requests.
 #pragma once
 
-#include <utility>  // Boost 1.74 needs it before its coroutine headers with GCC 12.
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>  // Boost 1.74 needs it before its coroutine headers with GCC 12.
 
 #include "base/endpoint.h"
 #include "base/instant.h"
--- a/src/http1/tests/client_connection_test.cc
+++ b/src/http1/tests/client_connection_test.cc
@@ -58,10 +58,9 @@
 }
 
 TEST_CASE("An answer that is cut or reset is broken, however it is framed") {
-  for (const char* part :
-       {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "HTTP/1.1 200 OK\r\nConte",
-        ""}) {
+  for (const char* part : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab",
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+                           "HTTP/1.1 200 OK\r\nConte", ""}) {
     for (const bool is_reset : {false, true}) {
       INFO(part << is_reset);
       Fixture fixture;
--- a/src/http1/tests/loopback.h
+++ b/src/http1/tests/loopback.h
@@ -1,12 +1,11 @@
 // Raw sockets on the loopback address for tests of the server and the client.
 #pragma once
 
-#include <utility>
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <string>
+#include <utility>
 
 #include "base/endpoint.h"
 #include "base/instant.h"
--- a/src/http1/tests/server_test.cc
+++ b/src/http1/tests/server_test.cc
@@ -56,19 +56,23 @@
   caller.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe");
   RunBriefly(fixture.context);
   REQUIRE(fixture.recorder.requests.empty());
-  caller.Send("lloPOST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+  caller.Send(
+      "lloPOST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
   REQUIRE(fixture.RunUntil([&] { return fixture.recorder.requests.size() == 2; }));
   REQUIRE(fixture.recorder.requests[1].body == "hello");
   REQUIRE(fixture.recorder.requests[2].body == "ab");
 }
 
 // Two ways to tell the end of a request let one be smuggled inside another.
-TEST_CASE("A request with two kinds of framing, or none that can be read, is refused and not passed on") {
+TEST_CASE(
+    "A request with two kinds of framing, or none that can be read, is refused and not passed on") {
   for (const std::string request :
-       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\n\r\n",
         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "no request\r\n\r\n"}) {
+        "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
+        "no request\r\n\r\n"}) {
     INFO(request);
     Fixture fixture;
     LoopbackSocket caller(fixture.server.port());
--- a/src/settings/internal/host_settings.cc
+++ b/src/settings/internal/host_settings.cc
@@ -145,8 +145,6 @@
   return settings;
 }
 
-HostSettings HostSettings::ReadFile(const std::string& path) {
-  return Parse(ReadText(path), path);
-}
+HostSettings HostSettings::ReadFile(const std::string& path) { return Parse(ReadText(path), path); }
 
 }  // namespace mangonotch::settings
--- a/src/steering/internal/target_state.cc
+++ b/src/steering/internal/target_state.cc
@@ -76,9 +76,8 @@
       failure_ratio_ *= 1 - kFailureWeight;
       if (had_free_slot) {
         const double ms = elapsed.seconds() * 1e3;
-        service_ms_ = service_samples_ == 0
-                          ? ms
-                          : service_ms_ * (1 - kServiceWeight) + ms * kServiceWeight;
+        service_ms_ =
+            service_samples_ == 0 ? ms : service_ms_ * (1 - kServiceWeight) + ms * kServiceWeight;
         service_samples_ = std::min(service_samples_ + 1, kServiceSamples);
         service_at_ = now;
       }
--- a/src/steering/tests/budget_test.cc
+++ b/src/steering/tests/budget_test.cc
@@ -1,6 +1,6 @@
 // Guards the bound on repeats, which must hold as a sum over all hosts and any window.
-#include <catch2/catch.hpp>
 #include <algorithm>
+#include <catch2/catch.hpp>
 #include <vector>
 
 #include "steering/repeat_budget.h"
--- a/src/steering/tests/load_test.cc
+++ b/src/steering/tests/load_test.cc
@@ -64,8 +64,7 @@
     const auto serve_new = [&] {
       for (; handled < host.port.sent.size(); ++handled) {
         const auto& sent = host.port.sent[handled];
-        const std::int64_t at =
-            pool[sent.order.target_id].Serve(asked[sent.id].first, ms, kSlots);
+        const std::int64_t at = pool[sent.order.target_id].Serve(asked[sent.id].first, ms, kSlots);
         answers.emplace(at, std::pair(sent.id, sent.order.number));
       }
     };
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -50,38 +50,37 @@
   };
 
   void Pump(tcp::socket& from, tcp::socket& to, Piece& piece, bool is_request) {
-    from.async_read_some(
-        boost::asio::buffer(piece.buf),
-        [this, self = shared_from_this(), &from, &to, &piece, is_request](error_code ec,
-                                                                          std::size_t n) {
-          if (proxy_ == nullptr) return;
-          if (ec) {
-            End(ec != boost::asio::error::eof);
-            return;
-          }
-          piece.bytes.assign(piece.buf.data(), n);
-          const Harm& harm = proxy_->harm_;
-          if (is_request ? harm.silences_requests : harm.silences_answers) return;
-          Forward(from, to, piece, is_request);
-        });
+    from.async_read_some(boost::asio::buffer(piece.buf),
+                         [this, self = shared_from_this(), &from, &to, &piece, is_request](
+                             error_code ec, std::size_t n) {
+                           if (proxy_ == nullptr) return;
+                           if (ec) {
+                             End(ec != boost::asio::error::eof);
+                             return;
+                           }
+                           piece.bytes.assign(piece.buf.data(), n);
+                           const Harm& harm = proxy_->harm_;
+                           if (is_request ? harm.silences_requests : harm.silences_answers) return;
+                           Forward(from, to, piece, is_request);
+                         });
   }
 
   void Forward(tcp::socket& from, tcp::socket& to, Piece& piece, bool is_request) {
     const auto timer = std::make_shared<boost::asio::steady_timer>(proxy_->context_);
     timer->expires_after(http1::ToChrono(proxy_->harm_.delay));
-    timer->async_wait([this, self = shared_from_this(), timer, &from, &to, &piece,
-                       is_request](error_code) {
-      if (proxy_ == nullptr) return;
-      http1::WriteAll(to, piece.bytes,
-                      [this, self, &from, &to, &piece, is_request](error_code ec, std::size_t) {
-                        if (proxy_ == nullptr) return;
-                        if (ec) {
-                          End(true);
-                          return;
-                        }
-                        Pump(from, to, piece, is_request);
-                      });
-    });
+    timer->async_wait(
+        [this, self = shared_from_this(), timer, &from, &to, &piece, is_request](error_code) {
+          if (proxy_ == nullptr) return;
+          http1::WriteAll(to, piece.bytes,
+                          [this, self, &from, &to, &piece, is_request](error_code ec, std::size_t) {
+                            if (proxy_ == nullptr) return;
+                            if (ec) {
+                              End(true);
+                              return;
+                            }
+                            Pump(from, to, piece, is_request);
+                          });
+        });
   }
 
   /// Null once the connection has ended.
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,14 +1,13 @@
 // A loopback proxy that harms connections: delays, silences either way, resets.
 #pragma once
 
-#include <utility>
-
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <unordered_set>
+#include <utility>
 
 #include "base/endpoint.h"
 #include "base/instant.h"
