--- a/src/edge/caller_front.h
+++ b/src/edge/caller_front.h
@@ -48,7 +48,7 @@
 
   // For the server.
 
-  void OnRequest(http1::RequestId id, http1::Request request);
+  void OnRequest(http1::RequestId id, http1::Request&& request);
   void OnCallerGone(http1::RequestId id);
 
   // For the engine.
--- a/src/edge/decision_log.h
+++ b/src/edge/decision_log.h
@@ -49,7 +49,7 @@
   void OnRepeat(const steering::Exchange& exchange, steering::RepeatReason reason,
                 base::Instant now);
   void OnRepeatDenied(const steering::Exchange& exchange, steering::RepeatReason reason,
-                      base::Instant now);
+                      steering::RepeatDenial denial, base::Instant now);
   void OnDelivered(const steering::Exchange& exchange, steering::AttemptNumber number,
                    base::Instant now);
   void OnConcluded(const steering::Exchange& exchange, const steering::Conclusion& conclusion,
--- a/src/edge/internal/caller_front.inl
+++ b/src/edge/internal/caller_front.inl
@@ -57,7 +57,7 @@
 }
 
 template <TrafficCodec Codec, steering::DecisionObserver Observer>
-void CallerFront<Codec, Observer>::OnRequest(http1::RequestId id, http1::Request request) {
+void CallerFront<Codec, Observer>::OnRequest(http1::RequestId id, http1::Request&& request) {
   const base::Instant now = http1::Now();
   Call& call = calls_[id];
   call.request = std::move(request);
--- a/src/edge/internal/decision_log.cc
+++ b/src/edge/internal/decision_log.cc
@@ -132,8 +132,11 @@
 }
 
 void DecisionLog::OnRepeatDenied(const steering::Exchange& exchange, steering::RepeatReason reason,
-                                 base::Instant now) {
-  AddStep(exchange, "repeat_denied(" + std::string(steering::NameOf(reason)) + ",budget)", now);
+                                 steering::RepeatDenial denial, base::Instant now) {
+  AddStep(exchange,
+          "repeat_denied(" + std::string(steering::NameOf(reason)) + "," +
+              std::string(steering::NameOf(denial)) + ")",
+          now);
 }
 
 void DecisionLog::OnDelivered(const steering::Exchange& exchange, steering::AttemptNumber,
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -15,7 +15,7 @@
 namespace mangonotch::http1 {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 /// The time-out that a Keep-Alive header names; nothing without one.
--- a/src/http1/internal/server_connection.inl
+++ b/src/http1/internal/server_connection.inl
@@ -12,7 +12,7 @@
 
 /// Requests of one connection that are worked on at the same time.
 inline constexpr std::size_t kMostPipelined = 32;
-inline constexpr std::size_t kReadBytes = 8 * 1024;
+inline constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 /// After the last answer, what the caller still sends is read and thrown away for this time, so
 /// that its kernel does not discard the answer on a reset.
 inline constexpr base::Duration kLingerTime = base::Duration::Milliseconds(500);
@@ -97,9 +97,9 @@
   has_continued_ = true;
   const auto expect = parser_->get().find(boost::beast::http::field::expect);
   if (expect == parser_->get().end() || !slots_.empty()) return;
-  static const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  static const std::string continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
   // No answer is under way on the connection, so the bytes fit the socket's buffer.
-  if (WriteNow(socket_, kContinue)) Close();
+  if (WriteNow(socket_, continue_answer)) Close();
 }
 
 template <typename Handler>
--- a/src/http1/tests/loopback.h
+++ b/src/http1/tests/loopback.h
@@ -14,7 +14,7 @@
 namespace mangonotch::http1 {
 
 /// 127.0.0.1 with a free port.
-inline const base::Endpoint kLoopback{.address = *base::ParseIpAddress("127.0.0.1"), .port = 0};
+inline constexpr base::Endpoint kLoopback{.address = *base::ParseIpAddress("127.0.0.1"), .port = 0};
 
 inline base::Endpoint LoopbackAt(std::uint16_t port) {
   return {.address = kLoopback.address, .port = port};
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -47,7 +47,7 @@
 
   // For the server of catalog changes.
 
-  void OnRequest(http1::RequestId id, http1::Request request);
+  void OnRequest(http1::RequestId id, const http1::Request& request);
   void OnCallerGone(http1::RequestId) {}
 
  private:
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -162,7 +162,7 @@
   callbacks_.on_merged();
 }
 
-void Gossip::OnRequest(http1::RequestId id, http1::Request request) {
+void Gossip::OnRequest(http1::RequestId id, const http1::Request& request) {
   const std::string_view target = request.target;
   std::uint64_t since = 0;
   const bool is_changes = target.starts_with(kChangesPath);
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -108,6 +108,9 @@
   void Repeat(Exchange& exchange, AttemptNumber failed, AttemptResult failure, base::Instant now);
   bool TryRepeat(Exchange& exchange, AttemptResult failure, base::Instant now);
   void Hedge(Exchange& exchange, base::Instant now);
+  /// Sends a further attempt when route, targets, time and budget allow it. `is_free` takes none of
+  /// the budget.
+  bool SendAgain(Exchange& exchange, RepeatReason reason, bool is_free, base::Instant now);
   void Expire(Exchange& exchange, base::Instant now);
   void Finish(Exchange& exchange, AttemptNumber number, base::Instant now);
   void Conclude(Exchange& exchange, ConclusionKind kind, ConclusionReason reason,
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -88,9 +88,9 @@
   for (const auto& it : exchange.service->targets()) {
     if (it->record().is_draining) continue;
     if (catalog_->evacuated_zones.contains(it->record().zone)) continue;
-    if (!regions.empty() &&
-        std::find(regions.begin(), regions.end(), it->region()) == regions.end())
-      continue;
+    const bool is_allowed =
+        regions.empty() || std::find(regions.begin(), regions.end(), it->region()) != regions.end();
+    if (!is_allowed) continue;
     if (!with_ejected && it->IsEjected(now)) continue;
     if (!MaySendCold(*it, now)) continue;
     const bool was_tried =
@@ -252,34 +252,42 @@
 template <typename Port, DecisionObserver Observer>
 bool Engine<Port, Observer>::TryRepeat(Exchange& exchange, AttemptResult failure,
                                        base::Instant now) {
-  const bool is_safe = exchange.route->is_idempotent || ProvesNotRun(failure);
-  if (!is_safe || exchange.Arrivals() >= exchange.route->max_attempts) return false;
-  const std::optional<Choice> choice = ChooseTarget(exchange, now);
-  if (!choice || choice->is_full || now + choice->estimate > exchange.deadline) return false;
-  // Nothing arrived at a target, so the next attempt is the first there.
+  if (!exchange.route->is_idempotent && !ProvesNotRun(failure)) return false;
+  // After an attempt that reached no target, the next is the first to arrive at one.
   const bool is_free = failure == AttemptResult::kNotSent;
-  if (!is_free && !exchange.service->budget().TryRepeat(hosts_, now)) {
-    observer_.OnRepeatDenied(exchange, ReasonOf(failure), now);
-    return false;
-  }
-  observer_.OnRepeat(exchange, ReasonOf(failure), now);
-  Send(exchange, *choice, now);
-  return true;
+  return SendAgain(exchange, ReasonOf(failure), is_free, now);
 }
 
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::Hedge(Exchange& exchange, base::Instant now) {
   SetTimer(exchange, exchange.deadline + kAnswerSlack);
-  if (exchange.is_caller_gone || exchange.Arrivals() >= exchange.route->max_attempts) return;
+  if (!exchange.is_caller_gone) SendAgain(exchange, RepeatReason::kHedge, false, now);
+}
+
+template <typename Port, DecisionObserver Observer>
+bool Engine<Port, Observer>::SendAgain(Exchange& exchange, RepeatReason reason, bool is_free,
+                                       base::Instant now) {
+  const auto deny = [&](RepeatDenial denial) {
+    observer_.OnRepeatDenied(exchange, reason, denial, now);
+    return false;
+  };
+  if (exchange.Arrivals() >= exchange.route->max_attempts) {
+    return deny(RepeatDenial::kAttemptsSpent);
+  }
   const std::optional<Choice> choice = ChooseTarget(exchange, now);
-  if (!choice || choice->target->Load(now) >= choice->target->slots()) return;
-  if (now + choice->estimate > exchange.deadline) return;
-  if (!exchange.service->budget().TryRepeat(hosts_, now)) {
-    observer_.OnRepeatDenied(exchange, RepeatReason::kHedge, now);
-    return;
+  if (!choice) return deny(RepeatDenial::kNoTarget);
+  // A second attempt beside a running one must not queue up behind others' first ones.
+  const bool has_room = reason == RepeatReason::kHedge
+                            ? choice->target->Load(now) < choice->target->slots()
+                            : !choice->is_full;
+  if (!has_room) return deny(RepeatDenial::kNoRoom);
+  if (now + choice->estimate > exchange.deadline) return deny(RepeatDenial::kTooLate);
+  if (!is_free && !exchange.service->budget().TryRepeat(hosts_, now)) {
+    return deny(RepeatDenial::kBudget);
   }
-  observer_.OnRepeat(exchange, RepeatReason::kHedge, now);
+  observer_.OnRepeat(exchange, reason, now);
   Send(exchange, *choice, now);
+  return true;
 }
 
 template <typename Port, DecisionObserver Observer>
--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -16,7 +16,8 @@
 void Engine<Port, Observer>::ApplyCatalog(catalog::CatalogPtr next, base::Instant now) {
   const catalog::CatalogPtr before = std::exchange(catalog_, std::move(next));
   if (!before || before->configuration != catalog_->configuration) {
-    routes_ = catalog::RouteTable(catalog_->configuration);
+    catalog::RouteTable routes{catalog_->configuration};
+    routes_ = std::move(routes);
     turns_.clear();
   }
   for (auto& [name, service] : services_) service.targets().clear();
--- a/src/steering/internal/service_state.cc
+++ b/src/steering/internal/service_state.cc
@@ -34,6 +34,22 @@
   return "hedge";
 }
 
+std::string_view NameOf(RepeatDenial denial) {
+  switch (denial) {
+    case RepeatDenial::kAttemptsSpent:
+      return "attempts_spent";
+    case RepeatDenial::kNoTarget:
+      return "no_target";
+    case RepeatDenial::kNoRoom:
+      return "no_room";
+    case RepeatDenial::kTooLate:
+      return "too_late";
+    case RepeatDenial::kBudget:
+      break;
+  }
+  return "budget";
+}
+
 std::uint32_t ServiceState::TotalSlots() const {
   std::uint32_t n = 0;
   for (const auto& it : targets_) {
--- a/src/steering/tests/engine_harness.h
+++ b/src/steering/tests/engine_harness.h
@@ -17,7 +17,7 @@
   void OnFull(const Exchange&, const Choice&, base::Duration, base::Instant) {}
   void OnOutcome(const Exchange&, AttemptNumber, const AttemptOutcome&, base::Instant) {}
   void OnRepeat(const Exchange&, RepeatReason, base::Instant) {}
-  void OnRepeatDenied(const Exchange&, RepeatReason, base::Instant) {}
+  void OnRepeatDenied(const Exchange&, RepeatReason, RepeatDenial, base::Instant) {}
   void OnDelivered(const Exchange&, AttemptNumber, base::Instant) {}
   void OnConcluded(const Exchange&, const Conclusion&, base::Instant) {}
   void OnCallerGone(const Exchange&, base::Instant) {}
