--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -98,8 +98,8 @@
 std::vector<std::uint64_t> Members::LocalKeys(base::Instant now) const {
   std::vector<std::uint64_t> keys;
   for (const auto& [host, member] : members_) {
-    if (IsLocal(member) && now - member.heard_at <= timing_.memory)
-      keys.push_back(base::Hash(host));
+    const bool may_live = now - member.heard_at <= timing_.memory;
+    if (may_live && IsLocal(member)) keys.push_back(base::Hash(host));
   }
   return keys;
 }
@@ -140,7 +140,8 @@
 
 std::string_view Members::RegionOf(std::string_view zone) const {
   const auto it = zones_.find(zone);
-  return it == zones_.end() ? std::string_view() : std::string_view(it->second);
+  if (it == zones_.end()) return {};
+  return it->second;
 }
 
 std::vector<base::Endpoint> Members::Resolve(std::string_view region, bool is_leaving,
--- a/src/fleet/tests/members_test.cc
+++ b/src/fleet/tests/members_test.cc
@@ -30,55 +30,55 @@
   return Members(self, {{"a1", "A"}, {"a2", "A"}, {"b1", "B"}}, {});
 }
 
-const HostRecord kSelf = RecordOf("self", "a1", 1);
-const HostRecord kNear = RecordOf("near", "a2", 2);
-const HostRecord kFar = RecordOf("far", "b1", 3);
+HostRecord Self() { return RecordOf("self", "a1", 1); }
+HostRecord Near() { return RecordOf("near", "a2", 2); }
+HostRecord Far() { return RecordOf("far", "b1", 3); }
 
 }  // namespace
 
 TEST_CASE("Callers are sent to the live hosts of their region") {
-  Members members = MembersOf(kSelf);
-  members.OnHeartbeat(BeatOf(kNear), At(0));
-  members.OnHeartbeat(BeatOf(kFar), At(0));
-  REQUIRE(members.Resolve("A", false, 64, At(100)) == std::vector{kSelf.callers, kNear.callers});
-  REQUIRE(members.Resolve("B", false, 64, At(100)) == std::vector{kFar.callers});
+  Members members = MembersOf(Self());
+  members.OnHeartbeat(BeatOf(Near()), At(0));
+  members.OnHeartbeat(BeatOf(Far()), At(0));
+  REQUIRE(members.Resolve("A", false, 64, At(100)) == std::vector{Self().callers, Near().callers});
+  REQUIRE(members.Resolve("B", false, 64, At(100)) == std::vector{Far().callers});
 }
 
 TEST_CASE("Silent and stopping hosts are not named") {
-  Members members = MembersOf(kSelf);
-  members.OnHeartbeat(BeatOf(kNear), At(0));
-  REQUIRE(members.Resolve("A", false, 64, At(5000)) == std::vector{kSelf.callers});
-  Heartbeat leaving = BeatOf(kNear, 2);
+  Members members = MembersOf(Self());
+  members.OnHeartbeat(BeatOf(Near()), At(0));
+  REQUIRE(members.Resolve("A", false, 64, At(5000)) == std::vector{Self().callers});
+  Heartbeat leaving = BeatOf(Near(), 2);
   leaving.is_leaving = true;
   members.OnHeartbeat(leaving, At(5000));
-  REQUIRE(members.Resolve("A", false, 64, At(5001)) == std::vector{kSelf.callers});
+  REQUIRE(members.Resolve("A", false, 64, At(5001)) == std::vector{Self().callers});
 }
 
 TEST_CASE("A region without hosts is served by the others, and some host is always named") {
-  Members members = MembersOf(kSelf);
-  REQUIRE(members.Resolve("B", false, 64, At(0)) == std::vector{kSelf.callers});
-  REQUIRE(members.Resolve("A", true, 64, At(0)) == std::vector{kSelf.callers});
+  Members members = MembersOf(Self());
+  REQUIRE(members.Resolve("B", false, 64, At(0)) == std::vector{Self().callers});
+  REQUIRE(members.Resolve("A", true, 64, At(0)) == std::vector{Self().callers});
 }
 
 TEST_CASE("Repeated and late heartbeats do not undo newer ones") {
-  Members members = MembersOf(kSelf);
-  Heartbeat leaving = BeatOf(kNear, 5);
+  Members members = MembersOf(Self());
+  Heartbeat leaving = BeatOf(Near(), 5);
   leaving.is_leaving = true;
   REQUIRE(members.OnHeartbeat(leaving, At(0)));
-  REQUIRE_FALSE(members.OnHeartbeat(BeatOf(kNear, 4), At(1)));
-  REQUIRE(members.Resolve("A", false, 64, At(2)) == std::vector{kSelf.callers});
+  REQUIRE_FALSE(members.OnHeartbeat(BeatOf(Near(), 4), At(1)));
+  REQUIRE(members.Resolve("A", false, 64, At(2)) == std::vector{Self().callers});
 }
 
 TEST_CASE("Silent hosts still count where a sum over all hosts is divided") {
-  Members members = MembersOf(kSelf);
-  members.OnHeartbeat(BeatOf(kNear), At(0));
+  Members members = MembersOf(Self());
+  members.OnHeartbeat(BeatOf(Near()), At(0));
   REQUIRE(members.CountLive(At(10'000)) == 1);
   REQUIRE(members.CountForSums(At(10'000)) == 2);
 }
 
 TEST_CASE("Work of silent hosts is forgotten") {
-  Members members = MembersOf(kSelf);
-  Heartbeat beat = BeatOf(kNear);
+  Members members = MembersOf(Self());
+  Heartbeat beat = BeatOf(Near());
   beat.loads = {{.target_key = 7, .in_flight = 3}};
   members.OnHeartbeat(beat, At(0));
   REQUIRE(members.PeerLoads(At(10)) == std::vector{TargetLoad{7, 3}});
@@ -116,9 +116,9 @@
 
 // On a link of 10 Mbit/s, 200 kB for each of twenty hosts took longer than a change may.
 TEST_CASE("Hosts with wide links watch before those with narrow ones") {
-  HostRecord wide = kNear;
+  HostRecord wide = Near();
   wide.link_mbps = 200;
-  HostRecord narrow = kSelf;
+  HostRecord narrow = Self();
   narrow.link_mbps = 10;
   Members members = MembersOf(narrow);
   for (int i = 0; i < 2; ++i) {
@@ -128,7 +128,7 @@
     members.OnHeartbeat(beat, At(0));
   }
   REQUIRE_FALSE(members.ShouldWatchStore(At(1)));
-  HostRecord widest = kSelf;
+  HostRecord widest = Self();
   widest.link_mbps = 1000;
   Members others = MembersOf(widest);
   others.OnHeartbeat(BeatOf(wide), At(0));
@@ -136,13 +136,13 @@
 }
 
 TEST_CASE("Addresses named by others are tried, and forgotten when nobody answers there") {
-  Members members = MembersOf(kSelf);
-  Heartbeat beat = BeatOf(kNear);
-  beat.contacts = {EndpointOf(77), kSelf.peers};
+  Members members = MembersOf(Self());
+  Heartbeat beat = BeatOf(Near());
+  beat.contacts = {EndpointOf(77), Self().peers};
   members.OnHeartbeat(beat, At(0));
-  REQUIRE(members.Contacts().local == std::vector{kNear.peers});
+  REQUIRE(members.Contacts().local == std::vector{Near().peers});
   REQUIRE(members.Contacts().unheard == std::vector{EndpointOf(77)});
-  members.OnHeartbeat(BeatOf(kNear, 2), At(59'000));
+  members.OnHeartbeat(BeatOf(Near(), 2), At(59'000));
   members.Expire(At(61'000));
   REQUIRE(members.Contacts().unheard.empty());
 }
--- a/src/http1/internal/beast_convert.cc
+++ b/src/http1/internal/beast_convert.cc
@@ -2,6 +2,7 @@
 #include "http1/internal/beast_convert.h"
 
 #include <boost/beast/http/error.hpp>
+#include <string>
 #include <utility>
 
 namespace mangonotch::http1 {
@@ -9,11 +10,13 @@
 
 namespace http = boost::beast::http;
 
+std::string ToString(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
 template <typename Fields>
 Headers ToHeaders(const Fields& fields) {
   Headers headers;
   for (const auto& it : fields) {
-    headers.push_back({std::string(it.name_string()), std::string(it.value())});
+    headers.push_back({ToString(it.name_string()), ToString(it.value())});
   }
   return headers;
 }
@@ -22,8 +25,8 @@
 
 Request ToRequest(BeastRequest&& message) {
   Request request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
+  request.method = ToString(message.method_string());
+  request.target = ToString(message.target());
   request.headers = ToHeaders(message);
   request.keep_alive = message.keep_alive();
   request.body = std::move(message.body());
@@ -33,7 +36,7 @@
 Response ToResponse(BeastResponse&& message) {
   Response response;
   response.status = message.result_int();
-  response.reason = std::string(message.reason());
+  response.reason = ToString(message.reason());
   response.headers = ToHeaders(message);
   response.keep_alive = message.keep_alive();
   response.body = std::move(message.body());
--- a/src/http1/internal/message.cc
+++ b/src/http1/internal/message.cc
@@ -96,8 +96,8 @@
   std::string out;
   out.reserve(response.body.size() + 512);
   out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
-  out.append(response.reason.empty() ? ReasonPhrase(response.status)
-                                     : std::string_view(response.reason));
+  const std::string_view own_reason = response.reason;
+  out.append(own_reason.empty() ? ReasonPhrase(response.status) : own_reason);
   out.append("\r\n");
   AppendHeaders(response.headers, out);
   const bool has_body = StatusAllowsBody(response.status);
--- a/src/http1/tests/server_test.cc
+++ b/src/http1/tests/server_test.cc
@@ -66,13 +66,15 @@
 // Two ways to tell the end of a request let one be smuggled inside another.
 TEST_CASE(
     "A request with two kinds of framing, or none that can be read, is refused and not passed on") {
-  for (const std::string request :
-       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: "
-        "chunked\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -3\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
-        "no request\r\n\r\n"}) {
+  const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::vector<std::string> requests = {
+      post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      post + "Content-Length: -3\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n",
+      "GET / HTTP/1.1\r\n\r\n",
+      "no request\r\n\r\n"};
+  for (const std::string& request : requests) {
     INFO(request);
     Fixture fixture;
     LoopbackSocket caller(fixture.server.port());
--- a/src/logging/tests/bounded_output_test.cc
+++ b/src/logging/tests/bounded_output_test.cc
@@ -40,7 +40,7 @@
 
 TEST_CASE("A pipe that nobody reads blocks no writer, and what is dropped is counted") {
   Pipe pipe;
-  BoundedOutput out(pipe.ends[1], 64 * 1024);
+  BoundedOutput out(pipe.ends[1], std::size_t{64} * 1024);
   const std::string line(999, 'x');
   constexpr int kLines = 1000;
   for (int i = 0; i < kLines; ++i) out << line << "\n" << std::flush;
--- a/src/steering/tests/budget_test.cc
+++ b/src/steering/tests/budget_test.cc
@@ -14,7 +14,7 @@
 
 TEST_CASE("A sliding count forgets what is older than its window") {
   SlidingCount count(base::Duration::Seconds(1));
-  for (int i = 0; i < 5; ++i) count.Add(At(i * 10));
+  for (std::int64_t i = 0; i < 5; ++i) count.Add(At(i * 10));
   REQUIRE(count.Count(At(500)) == 5);
   REQUIRE(count.Count(At(999)) == 5);
   REQUIRE(count.Count(At(1200)) == 0);
@@ -52,7 +52,7 @@
   constexpr int kHosts = 8;
   const RepeatLimits limits{.ratio = 0.2, .allowance = 56};
   int repeats = 0;
-  for (int run = 0; run < 2; ++run) {
+  for (std::int64_t run = 0; run < 2; ++run) {
     std::vector<RepeatBudget> hosts(kHosts, RepeatBudget(limits));
     for (RepeatBudget& it : hosts) {
       while (it.TryRepeat(kHosts, At(run * 1000))) ++repeats;
--- a/src/steering/tests/load_test.cc
+++ b/src/steering/tests/load_test.cc
@@ -46,8 +46,10 @@
 Tally PlayLoad(int per_s, std::uint32_t objects) {
   constexpr std::uint32_t kSlots = 4;
   constexpr std::int64_t kEndMs = 20'000;
+  constexpr int kTargets = 8;
   std::vector<catalog::Target> targets;
-  for (int i = 0; i < 8; ++i) {
+  targets.reserve(kTargets);
+  for (int i = 0; i < kTargets; ++i) {
     targets.push_back(MakeTarget("t" + std::to_string(i), "status", "a1", kSlots));
   }
   EngineHarness host(targets);
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -45,7 +45,7 @@
 
  private:
   struct Piece {
-    std::array<char, 16 * 1024> buf{};
+    std::array<char, std::size_t{16} * 1024> buf{};
     std::string bytes;
   };
 
