--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "app/internal/host_gauges.h"
 #include "app/internal/traffic_thread.h"
 #include "base/error.h"
 #include "base/hash.h"
@@ -83,6 +84,23 @@
   return peers;
 }
 
+/// `source` names where the change came from: the store or another host.
+void ReportCatalog(const catalog::Catalog& catalog, std::string_view source) {
+  const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
+  const auto draining = std::count_if(catalog.targets.begin(), catalog.targets.end(),
+                                      [](const catalog::Target& it) { return it.is_draining; });
+  std::string evacuated;
+  for (const std::string& it : catalog.evacuated_zones) {
+    evacuated += (evacuated.empty() ? "" : ",") + it;
+  }
+  logging::Log(Level::kInfo, "catalog_changed",
+               {{"configuration", version},
+                {"targets", catalog.targets.size()},
+                {"draining", draining},
+                {"evacuated", evacuated},
+                {"source", source}});
+}
+
 }  // namespace
 
 class EdgeHost::Control {
@@ -125,13 +143,10 @@
   platform::SinkContext SinkContextOf();
   peering::Gossip::Callbacks GossipCallbacks();
   void PublishCatalog();
-  void ReportCatalog(const catalog::Catalog& catalog);
   void ExchangeLoads();
   /// Starts or stops the watches of the store.
   void ChooseWatchers();
   bool HasFreshCatalog() const { return targets_feed_.is_fresh() && orders_feed_.is_fresh(); }
-  /// On the traffic thread.
-  void ReportTraffic(const TrafficThread::Front& front);
   void WaitForSignal();
   void Reload();
   void Stop();
@@ -145,24 +160,7 @@
   settings::EdgeBounds bounds_;
   boost::asio::io_context context_{1};
   metrics::Registry metrics_;
-  metrics::Gauge configuration_version_ = metrics_.AddGauge(
-      "mangonotch_configuration_version", "Version of the configuration in force");
-  metrics::Gauge targets_known_ =
-      metrics_.AddGauge("mangonotch_targets", "Targets known, the draining ones included");
-  metrics::Gauge hosts_live_ =
-      metrics_.AddGauge("mangonotch_hosts_live", "Hosts heard lately, this one included");
-  metrics::Gauge log_lines_dropped_ = metrics_.AddGauge(
-      "mangonotch_log_lines_dropped", "Log lines that standard output did not take in time");
-  metrics::Gauge requests_open_ =
-      metrics_.AddGauge("mangonotch_requests_open", "Requests that wait or run");
-  metrics::Gauge callers_connected_ =
-      metrics_.AddGauge("mangonotch_caller_connections", "Open connections of callers");
-  metrics::Gauge target_connections_opened_ = metrics_.AddGauge(
-      "mangonotch_target_connections_opened", "Connections opened to targets since the start");
-  metrics::Gauge target_connections_reused_ = metrics_.AddGauge(
-      "mangonotch_target_connections_reused", "Requests sent on a kept connection since the start");
-  metrics::Gauge malformed_requests_ = metrics_.AddGauge(
-      "mangonotch_malformed_requests", "Requests refused by the parser since the start");
+  HostGauges gauges_{metrics_};
   discovery::Registry registry_;
   fleet::Members members_;
   TrafficThread traffic_;
@@ -276,32 +274,14 @@
   if (HasFreshCatalog()) gossip_.AnnounceLocally();
   has_configuration_ = has_configuration_ || catalog->configuration;
   has_targets_ = has_targets_ || !catalog->targets.empty();
-  ReportCatalog(*catalog);
+  ReportCatalog(*catalog, HasFreshCatalog() ? "store" : "host");
+  gauges_.ReportCatalog(*catalog);
   traffic_.Post([catalog](TrafficThread::Front& front) { front.ApplyCatalog(catalog); });
 }
 
-void EdgeHost::Control::ReportCatalog(const catalog::Catalog& catalog) {
-  const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
-  const auto draining = std::count_if(catalog.targets.begin(), catalog.targets.end(),
-                                      [](const catalog::Target& it) { return it.is_draining; });
-  std::string evacuated;
-  for (const std::string& it : catalog.evacuated_zones) {
-    evacuated += (evacuated.empty() ? "" : ",") + it;
-  }
-  logging::Log(Level::kInfo, "catalog_changed",
-               {{"configuration", version},
-                {"targets", catalog.targets.size()},
-                {"draining", draining},
-                {"evacuated", evacuated},
-                {"source", HasFreshCatalog() ? "store" : "host"}});
-  configuration_version_.Set(static_cast<double>(version));
-  targets_known_.Set(static_cast<double>(catalog.targets.size()));
-}
-
 void EdgeHost::Control::ExchangeLoads() {
   const base::Instant now = http1::Now();
-  hosts_live_.Set(members_.CountLive(now));
-  log_lines_dropped_.Set(static_cast<double>(log_.dropped_lines()));
+  gauges_.ReportControl(members_.CountLive(now), log_.dropped_lines());
   std::vector<steering::PeerLoad> loads;
   for (const fleet::TargetLoad& it : members_.PeerLoads(now)) {
     loads.push_back({it.target_key, it.in_flight});
@@ -310,7 +290,7 @@
   traffic_.Post([this, loads = std::move(loads), hosts,
                  local = members_.LocalKeys(now)](TrafficThread::Front& front) {
     front.ApplyPeers(loads, hosts, local);
-    ReportTraffic(front);
+    gauges_.ReportTraffic(front);
     std::vector<fleet::TargetLoad> own;
     for (const steering::PeerLoad& it : front.OwnLoads()) {
       own.push_back({it.target_key, it.in_flight});
@@ -319,14 +299,6 @@
   });
 }
 
-void EdgeHost::Control::ReportTraffic(const TrafficThread::Front& front) {
-  requests_open_.Set(static_cast<double>(front.requests()));
-  callers_connected_.Set(static_cast<double>(front.connections()));
-  target_connections_opened_.Set(static_cast<double>(front.pool_counts().opened));
-  target_connections_reused_.Set(static_cast<double>(front.pool_counts().reused));
-  malformed_requests_.Set(static_cast<double>(front.server_counts().malformed_requests));
-}
-
 http1::Response EdgeHost::Control::ReplyReadiness(Control& control, const http1::Request& request) {
   if (!platform::IsReadinessCheck(request)) return {.status = 404};
   return platform::ReadinessResponse(control.IsReady());
--- /dev/null
+++ b/src/app/internal/host_gauges.cc
@@ -0,0 +1,45 @@
+// Names of the gauges.
+#include "app/internal/host_gauges.h"
+
+namespace mangonotch::app {
+
+HostGauges::HostGauges(metrics::Registry& registry)
+    : configuration_version_(registry.AddGauge("mangonotch_configuration_version",
+                                               "Version of the configuration in force")),
+      targets_known_(
+          registry.AddGauge("mangonotch_targets", "Targets known, the draining ones included")),
+      hosts_live_(
+          registry.AddGauge("mangonotch_hosts_live", "Hosts heard lately, this one included")),
+      log_lines_dropped_(registry.AddGauge("mangonotch_log_lines_dropped",
+                                           "Log lines that standard output did not take in time")),
+      requests_open_(registry.AddGauge("mangonotch_requests_open", "Requests that wait or run")),
+      callers_connected_(
+          registry.AddGauge("mangonotch_caller_connections", "Open connections of callers")),
+      target_connections_opened_(registry.AddGauge(
+          "mangonotch_target_connections_opened", "Connections opened to targets since the start")),
+      target_connections_reused_(
+          registry.AddGauge("mangonotch_target_connections_reused",
+                            "Requests sent on a kept connection since the start")),
+      malformed_requests_(registry.AddGauge("mangonotch_malformed_requests",
+                                            "Requests refused by the parser since the start")) {}
+
+void HostGauges::ReportCatalog(const catalog::Catalog& catalog) {
+  const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
+  configuration_version_.Set(static_cast<double>(version));
+  targets_known_.Set(static_cast<double>(catalog.targets.size()));
+}
+
+void HostGauges::ReportControl(std::uint32_t hosts_live, std::uint64_t log_lines_dropped) {
+  hosts_live_.Set(hosts_live);
+  log_lines_dropped_.Set(static_cast<double>(log_lines_dropped));
+}
+
+void HostGauges::ReportTraffic(const TrafficThread::Front& front) {
+  requests_open_.Set(static_cast<double>(front.requests()));
+  callers_connected_.Set(static_cast<double>(front.connections()));
+  target_connections_opened_.Set(static_cast<double>(front.pool_counts().opened));
+  target_connections_reused_.Set(static_cast<double>(front.pool_counts().reused));
+  malformed_requests_.Set(static_cast<double>(front.server_counts().malformed_requests));
+}
+
+}  // namespace mangonotch::app
--- /dev/null
+++ b/src/app/internal/host_gauges.h
@@ -0,0 +1,34 @@
+// The gauges of an entry host on the platform: what it believes, and what its traffic holds.
+#pragma once
+
+#include <cstdint>
+
+#include "app/internal/traffic_thread.h"
+#include "catalog/catalog.h"
+#include "metrics/registry.h"
+
+namespace mangonotch::app {
+
+/// Safe from both threads, as all metrics are.
+class HostGauges {
+ public:
+  /// `registry` must outlive the gauges.
+  explicit HostGauges(metrics::Registry& registry);
+
+  void ReportCatalog(const catalog::Catalog& catalog);
+  void ReportControl(std::uint32_t hosts_live, std::uint64_t log_lines_dropped);
+  void ReportTraffic(const TrafficThread::Front& front);
+
+ private:
+  metrics::Gauge configuration_version_;
+  metrics::Gauge targets_known_;
+  metrics::Gauge hosts_live_;
+  metrics::Gauge log_lines_dropped_;
+  metrics::Gauge requests_open_;
+  metrics::Gauge callers_connected_;
+  metrics::Gauge target_connections_opened_;
+  metrics::Gauge target_connections_reused_;
+  metrics::Gauge malformed_requests_;
+};
+
+}  // namespace mangonotch::app
--- /dev/null
+++ b/src/steering/tests/placement_test.cc
@@ -0,0 +1,119 @@
+// Guards the choice of a target: homes that stay where they are as targets come and go, and the
+// preference for the earliest answer.
+#include "steering/placement.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "base/hash.h"
+
+namespace mangonotch::steering {
+namespace {
+
+constexpr double kLocalWeight = 10;
+constexpr base::Duration kServiceTime = base::Duration::Milliseconds(60);
+
+base::Instant At(std::int64_t ms) {
+  return base::Instant() + base::Duration::Milliseconds(1'000'000 + ms);
+}
+
+struct Pool {
+  TargetState& Add(const std::string& id, const std::string& region, std::uint32_t slots = 4) {
+    catalog::Target target;
+    target.id = id;
+    target.slots = slots;
+    owned.push_back(std::make_unique<TargetState>(target, region));
+    targets.push_back(owned.back().get());
+    return *owned.back();
+  }
+  std::string HomeOf(std::uint64_t key) const {
+    const auto ranks = AffinityRanks(key, "A", kLocalWeight, targets);
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      if (ranks[i] == 0) return targets[i]->record().id;
+    }
+    return "";
+  }
+  std::string Chosen(std::uint64_t key) const {
+    const Placement placement({});
+    const auto choice = placement.Choose(
+        targets,
+        {.affinity_key = key, .local_region = "A", .service_time = kServiceTime, .now = At(0)});
+    return choice ? choice->target->record().id : "";
+  }
+
+  std::vector<std::unique_ptr<TargetState>> owned;
+  std::vector<TargetState*> targets;
+};
+
+Pool TwelveTargets() {
+  Pool pool;
+  for (int i = 0; i < 6; ++i) pool.Add("a" + std::to_string(i), "A");
+  for (int i = 0; i < 6; ++i) pool.Add("b" + std::to_string(i), "B");
+  return pool;
+}
+
+}  // namespace
+
+// Homes that move all at once would shift a region's traffic and meet cold caches.
+TEST_CASE("The loss of a target moves only the objects that had their home there") {
+  Pool before = TwelveTargets();
+  Pool after = TwelveTargets();
+  after.targets.erase(after.targets.begin());
+  int moved = 0;
+  for (std::uint64_t i = 1; i <= 1000; ++i) {
+    const std::uint64_t key = base::Mix(i);
+    const std::string home = before.HomeOf(key);
+    if (home == "a0") ++moved;
+    if (home != "a0") REQUIRE(after.HomeOf(key) == home);
+  }
+  // One of six local targets, which have ten elevenths of the homes.
+  REQUIRE(moved > 90);
+  REQUIRE(moved < 220);
+}
+
+TEST_CASE("Most homes are in the caller's region, in the share of its weighted slots") {
+  const Pool pool = TwelveTargets();
+  int local = 0;
+  for (std::uint64_t i = 1; i <= 1000; ++i) local += pool.HomeOf(base::Mix(i))[0] == 'a' ? 1 : 0;
+  REQUIRE(local > 850);
+  REQUIRE(local < 960);
+}
+
+TEST_CASE("A request goes to its home while that has room, and to the next home when it is full") {
+  Pool pool = TwelveTargets();
+  constexpr std::uint64_t kKey = 77;
+  const std::string home = pool.HomeOf(kKey);
+  REQUIRE(pool.Chosen(kKey) == home);
+  for (TargetState* it : pool.targets) {
+    if (it->record().id != home) continue;
+    for (int i = 0; i < 8; ++i) it->OnSent(At(0));
+  }
+  const std::string next = pool.Chosen(kKey);
+  REQUIRE(next != home);
+  pool.targets.erase(std::find_if(pool.targets.begin(), pool.targets.end(),
+                                  [&](TargetState* it) { return it->record().id == home; }));
+  REQUIRE(pool.HomeOf(kKey) == next);
+}
+
+TEST_CASE("A target that fails or is silent is left for another") {
+  for (const bool is_silent : {false, true}) {
+    Pool pool;
+    TargetState& bad = pool.Add("bad", "A");
+    pool.Add("good", "A");
+    if (is_silent) {
+      bad.OnSent(At(-2000));
+    } else {
+      for (int i = 0; i < 6; ++i) {
+        bad.OnSent(At(-100));
+        bad.OnOutcome({.result = AttemptResult::kNotRun}, {}, true, At(-50));
+      }
+    }
+    REQUIRE(pool.Chosen(0) == "good");
+  }
+}
+
+TEST_CASE("Without candidates there is no choice") { REQUIRE(Pool().Chosen(1).empty()); }
+
+}  // namespace mangonotch::steering
