Do not let a host that is behind bring back a removed target

Ruled out: a late watcher; the removal was known in 0.4 s. Older news of a removed target is now ignored.

--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -15,6 +15,7 @@
 }  // namespace
 
 void Registry::PutTarget(const catalog::Target& target, StoreRevision revision) {
+  if (WasRemovedAt(target.id) >= revision) return;
   const auto [it, is_new] = targets_.try_emplace(target.id);
   Entry& entry = it->second;
   if (!is_new && revision <= entry.revision) return;
@@ -30,6 +31,14 @@
   entry.keep_until = base::Instant::Never();
 }
 
+StoreRevision Registry::WasRemovedAt(std::string_view id) const {
+  StoreRevision revision = 0;
+  for (const auto& [sequence, removal] : removals_) {
+    if (removal.id == id) revision = std::max(revision, removal.revision);
+  }
+  return revision;
+}
+
 Registry::Entries::iterator Registry::Erase(Entries::iterator it, StoreRevision revision) {
   removals_.emplace_back(++sequence_, TargetRemoval{.id = it->first, .revision = revision});
   if (removals_.size() > kMostRemovals) {
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -104,6 +104,9 @@
 
   using Entries = std::map<std::string, Entry, std::less<>>;
 
+  /// Revision at which a target was last removed, among the removals kept; 0 when it was not. Older
+  /// news of it, as hosts that were cut off still have, must not bring it back.
+  StoreRevision WasRemovedAt(std::string_view id) const;
   /// Removes the entry and returns the next one.
   Entries::iterator Erase(Entries::iterator it, StoreRevision revision);
   void SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now);
--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -141,6 +141,21 @@
   REQUIRE(IdsOf(*copy.TakeChange()) == std::vector<std::string>{"newer", "t1"});
 }
 
+// A host that was cut off named a target that had left, and requests went there (DRAIN on
+// gyaszvarro-grown, mix, seed 669496282935).
+TEST_CASE("Changes of a host that is behind do not bring back a removed target") {
+  Registry behind(kRecovery);
+  behind.PutTarget(MakeTarget("left"), 5);
+  behind.AdvanceTargets(5);
+  Registry registry(kRecovery);
+  registry.PutTarget(MakeTarget("left"), 5);
+  registry.RemoveTarget("left", 9, At(0));
+  registry.Merge(behind.ChangesSince(0), At(10));
+  REQUIRE(registry.TakeChange()->targets.empty());
+  registry.PutTarget(MakeTarget("left"), 10);
+  REQUIRE(registry.TakeChange()->targets.size() == 1);
+}
+
 TEST_CASE("A host too far behind to be told each removal gets a full copy") {
   Registry source(kRecovery);
   source.PutTarget(MakeTarget("first"), 1);
