--- a/src/steering/placement.h
+++ b/src/steering/placement.h
@@ -23,7 +23,7 @@
   /// its own time, and the time that others wait for the slot it holds longer.
   double cold_cache_factor = 6;
   /// Weight of the local region's slots in the order of affinity, relative to other regions'.
-  double local_weight = 10;
+  double local_weight = 4;
   /// Targets of these ranks, from 0, are expected to hold an object.
   std::uint32_t home_ranks = 2;
   /// Other targets take a request only while less than this share of their slots is taken: it runs
