Read the settings file again when it changes without a signal

Cause: the file was read on SIGHUP only, and the limits of repeats kept their first values even then. Ruled out: inotify, which the platform refuses; the host reads the file once a second. New limits count the repeats already made, so that a change does not allow them twice. A window under 100 ms is refused: a window of zero divided by zero. The line on a changed catalog moves to a file of its own.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "app/internal/catalog_report.h"
 #include "app/internal/host_gauges.h"
 #include "app/internal/traffic_thread.h"
 #include "base/error.h"
@@ -28,6 +29,7 @@
 #include "platform/records.h"
 #include "platform/store_client.h"
 #include "platform/store_sinks.h"
+#include "settings/edge_settings_watch.h"
 
 namespace mangonotch::app {
 namespace {
@@ -55,6 +57,7 @@
 /// Left of the platform's time for a stop when the host ends with requests under way.
 constexpr Duration kStopMargin = Duration::Milliseconds(350);
 constexpr Duration kStopCheckInterval = Duration::Milliseconds(50);
+constexpr Duration kSettingsCheckInterval = Duration::Seconds(1);
 constexpr Duration kLogFlushInterval = Duration::Milliseconds(200);
 /// Part of the descriptors for callers' connections; the rest serves targets, the store and files.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
@@ -64,15 +67,18 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings,
-                                          const settings::EdgeBounds& bounds) {
+steering::RepeatLimits RepeatLimitsOf(const settings::EdgeBounds& bounds) {
+  return {.ratio = bounds.retry_ratio,
+          .allowance = bounds.retry_allowance,
+          .window = bounds.retry_window};
+}
+
+steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings) {
   steering::EngineSettings engine;
   engine.region = settings.region;
   engine.host_key = base::Hash(settings.host);
   engine.zones = settings.zones;
-  engine.repeats = {.ratio = bounds.retry_ratio,
-                    .allowance = bounds.retry_allowance,
-                    .window = bounds.retry_window};
+  engine.repeats = RepeatLimitsOf(settings.bounds);
   return engine;
 }
 
@@ -84,23 +90,6 @@
   return peers;
 }
 
-/// `source` names where the change came from: the store or another host.
-void ReportCatalog(const catalog::Catalog& catalog, std::string_view source) {
-  const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
-  const auto draining = std::count_if(catalog.targets.begin(), catalog.targets.end(),
-                                      [](const catalog::Target& it) { return it.is_draining; });
-  std::string evacuated;
-  for (const std::string& it : catalog.evacuated_zones) {
-    evacuated += (evacuated.empty() ? "" : ",") + it;
-  }
-  logging::Log(Level::kInfo, "catalog_changed",
-               {{"configuration", version},
-                {"targets", catalog.targets.size()},
-                {"draining", draining},
-                {"evacuated", evacuated},
-                {"source", source}});
-}
-
 }  // namespace
 
 class EdgeHost::Control {
@@ -148,16 +137,17 @@
   void ChooseWatchers();
   bool HasFreshCatalog() const { return targets_feed_.is_fresh() && orders_feed_.is_fresh(); }
   void WaitForSignal();
-  void Reload();
+  void CheckSettings();
+  void CheckSettingsLater();
   void Stop();
   void CheckStopped();
   void FlushLog();
   bool IsReady() const { return has_configuration_ && has_targets_ && !is_leaving_; }
 
-  settings::EdgeSettings settings_;
-  std::string settings_path_;
+  const settings::EdgeSettings& settings() const { return settings_watch_.current(); }
+
+  settings::EdgeSettingsWatch settings_watch_;
   logging::BoundedOutput& log_;
-  settings::EdgeBounds bounds_;
   boost::asio::io_context context_{1};
   metrics::Registry metrics_;
   HostGauges gauges_{metrics_};
@@ -177,6 +167,7 @@
   boost::asio::signal_set signals_;
   boost::asio::steady_timer expire_timer_;
   boost::asio::steady_timer stop_timer_;
+  boost::asio::steady_timer settings_timer_;
   boost::asio::steady_timer flush_timer_;
   std::vector<fleet::TargetLoad> own_loads_;
   bool has_configuration_ = false;
@@ -188,10 +179,8 @@
 
 EdgeHost::Control::Control(const settings::EdgeSettings& settings, std::string settings_path,
                            logging::BoundedOutput& log)
-    : settings_(settings),
-      settings_path_(std::move(settings_path)),
+    : settings_watch_(std::move(settings_path), settings),
       log_(log),
-      bounds_(settings.bounds),
       registry_(kRecoveryTime),
       members_({.host = settings.host,
                 .zone = settings.zone,
@@ -199,7 +188,7 @@
                 .peers = settings.listen.peers,
                 .link_mbps = settings.link_mbps},
                settings.zones, {}),
-      traffic_(settings.listen.callers, EngineSettingsOf(settings, bounds_),
+      traffic_(settings.listen.callers, EngineSettingsOf(settings),
                settings.descriptors / kCallerDescriptorsDivisor, metrics_),
       store_(context_, settings.store, metrics_),
       targets_sink_(SinkContextOf()),
@@ -218,10 +207,12 @@
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       expire_timer_(context_),
       stop_timer_(context_),
+      settings_timer_(context_),
       flush_timer_(context_) {
   const base::Instant now = http1::Now();
-  for (const base::Endpoint& it : PeersOfSeeds(settings_)) members_.AddContact(it, now);
+  for (const base::Endpoint& it : PeersOfSeeds(settings)) members_.AddContact(it, now);
   WaitForSignal();
+  CheckSettingsLater();
   host_entry_.Start();
   gossip_.Start();
   FlushLog();
@@ -309,7 +300,8 @@
   if (!query) return {.status = 404};
   const auto hosts =
       control.members_.Resolve(query->region, !control.IsReady(), kMostLookupHosts, http1::Now());
-  return platform::ResolveResponse(hosts, std::min(kLookupTtl, control.bounds_.lookup_ttl));
+  return platform::ResolveResponse(hosts,
+                                   std::min(kLookupTtl, control.settings().bounds.lookup_ttl));
 }
 
 http1::Response EdgeHost::Control::ReplyMetrics(Control& control, const http1::Request& request) {
@@ -322,7 +314,7 @@
   signals_.async_wait([this](boost::system::error_code ec, int signal_number) {
     if (ec) return;
     if (signal_number == SIGHUP) {
-      Reload();
+      CheckSettings();
       WaitForSignal();
       return;
     }
@@ -330,24 +322,37 @@
   });
 }
 
-void EdgeHost::Control::Reload() {
-  try {
-    const auto next = settings::EdgeSettings::ReadFile(settings_path_);
-    bounds_ = next.bounds;
-    const base::Instant now = http1::Now();
-    for (const base::Endpoint& it : PeersOfSeeds(next)) members_.AddContact(it, now);
-    logging::Log(Level::kInfo, "settings_reloaded",
-                 {{"host", settings_.host}, {"changed", !(next == settings_)}});
-    settings_ = next;
-  } catch (const base::Error& ex) {
-    logging::Log(Level::kError, "settings_refused", {{"cause", ex.what()}});
+void EdgeHost::Control::CheckSettings() {
+  switch (settings_watch_.Check()) {
+    case settings::SettingsChange::kNone:
+      return;
+    case settings::SettingsChange::kRefused:
+      logging::Log(Level::kError, "settings_refused", {{"cause", settings_watch_.fault()}});
+      return;
+    case settings::SettingsChange::kChanged:
+      break;
   }
+  logging::Log(Level::kInfo, "settings_reloaded", {{"host", settings().host}});
+  const base::Instant now = http1::Now();
+  for (const base::Endpoint& it : PeersOfSeeds(settings())) members_.AddContact(it, now);
+  traffic_.Post([limits = RepeatLimitsOf(settings().bounds)](TrafficThread::Front& front) {
+    front.ApplyRepeatLimits(limits);
+  });
+}
+
+void EdgeHost::Control::CheckSettingsLater() {
+  settings_timer_.expires_after(http1::ToChrono(kSettingsCheckInterval));
+  settings_timer_.async_wait([this](boost::system::error_code ec) {
+    if (ec) return;
+    CheckSettings();
+    CheckSettingsLater();
+  });
 }
 
 void EdgeHost::Control::Stop() {
   is_leaving_ = true;
   leaving_since_ = http1::Now();
-  logging::Log(Level::kInfo, "stopping", {{"host", settings_.host}});
+  logging::Log(Level::kInfo, "stopping", {{"host", settings().host}});
   gossip_.Announce();
   host_entry_.Leave();
   CheckStopped();
@@ -355,7 +360,7 @@
 
 void EdgeHost::Control::CheckStopped() {
   const Duration elapsed = http1::Now() - leaving_since_;
-  const bool is_over = elapsed >= bounds_.stop_time - kStopMargin;
+  const bool is_over = elapsed >= settings().bounds.stop_time - kStopMargin;
   const bool may_close = elapsed >= kServeOnTime;
   const bool may_end = elapsed >= kLeastStopTime;
   traffic_.Post([this, is_over, may_close, may_end](TrafficThread::Front& front) {
@@ -365,7 +370,7 @@
     if (!is_done) return;
     http1::Post(context_, [this, requests] {
       logging::Log(Level::kInfo, "stopped",
-                   {{"host", settings_.host}, {"requests_under_way", requests}});
+                   {{"host", settings().host}, {"requests_under_way", requests}});
       log_.Flush();
       context_.stop();
     });
--- a/src/edge/caller_front.h
+++ b/src/edge/caller_front.h
@@ -40,6 +40,7 @@
               steering::EngineSettings settings, std::size_t most_connections, Codec codec,
               Observer& observer);
 
+  void ApplyRepeatLimits(const steering::RepeatLimits& limits);
   void ApplyCatalog(const catalog::CatalogPtr& catalog);
   /// As Engine::SetPeerLoads and Engine::SetHosts.
   void ApplyPeers(std::span<const steering::PeerLoad> loads, std::uint32_t hosts,
--- a/src/edge/internal/caller_front.inl
+++ b/src/edge/internal/caller_front.inl
@@ -30,6 +30,11 @@
   server_.SetLimits({.connections = most_connections_});
 }
 
+template <TrafficCodec Codec, RequestObserver Observer>
+void CallerFront<Codec, Observer>::ApplyRepeatLimits(const steering::RepeatLimits& limits) {
+  engine_.SetRepeatLimits(limits, http1::Now());
+}
+
 template <TrafficCodec Codec, RequestObserver Observer>
 void CallerFront<Codec, Observer>::ApplyCatalog(const catalog::CatalogPtr& catalog) {
   if (catalog->configuration) {
--- a/src/edge/internal/decision_log.cc
+++ b/src/edge/internal/decision_log.cc
@@ -90,8 +90,8 @@
   const steering::TargetState& target = *choice.target;
   AddStep(exchange,
           "sent(target=" + target.record().id + ",zone=" + target.record().zone +
-              ",rank=" + std::to_string(choice.rank) + ",load=" + std::to_string(target.Load(now)) + "/" +
-              std::to_string(target.slots()) +
+              ",rank=" + std::to_string(choice.rank) + ",load=" + std::to_string(target.Load(now)) +
+              "/" + std::to_string(target.slots()) +
               ",report_age_ms=" + std::to_string(target.ReportAge(now).milliseconds()) +
               ",estimate_ms=" + std::to_string(choice.estimate.milliseconds()) + ")",
           now);
--- a/src/settings/internal/edge_settings.cc
+++ b/src/settings/internal/edge_settings.cc
@@ -16,6 +16,8 @@
 
 constexpr std::int64_t kFewestDescriptors = 64;
 constexpr std::int64_t kMostDescriptors = 1'000'000;
+/// Repeats are counted in fractions of the window.
+constexpr base::Duration kLeastRetryWindow = base::Duration::Milliseconds(100);
 
 base::Endpoint EndpointOf(Reader& reader, std::string_view field) {
   return base::ParseEndpoint(ReadEndpoint(reader, field)).value_or(base::Endpoint());
@@ -58,6 +60,9 @@
   EdgeBounds bounds;
   bounds.retry_ratio = NumberOr(reader, "retry_ratio", base.retry_ratio);
   bounds.retry_window = DurationOr(reader, "retry_window", base.retry_window);
+  if (bounds.retry_window < kLeastRetryWindow) {
+    reader.Fail("retry_window", "100ms or more", "a shorter time");
+  }
   bounds.retry_allowance =
       static_cast<std::uint32_t>(NumberOr(reader, "retry_allowance", base.retry_allowance));
   bounds.stop_time = DurationOr(reader, "stop_time", base.stop_time);
--- a/src/settings/tests/edge_settings_test.cc
+++ b/src/settings/tests/edge_settings_test.cc
@@ -3,9 +3,12 @@
 #include "settings/edge_settings.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <string>
 
 #include "jsonc/fault.h"
+#include "settings/edge_settings_watch.h"
 
 namespace mangonotch::settings {
 namespace {
@@ -30,6 +33,16 @@
   return text.replace(at, from.size(), to);
 }
 
+/// A settings file that is removed at the end.
+struct SettingsFile {
+  std::filesystem::path path =
+      std::filesystem::temp_directory_path() / "mangonotch_edge_settings_test.jsonc";
+
+  SettingsFile() { Write(kSettings); }
+  ~SettingsFile() { std::filesystem::remove(path); }
+  void Write(std::string_view text) const { std::ofstream(path) << text; }
+};
+
 }  // namespace
 
 TEST_CASE("Settings of the platform's template are read") {
@@ -50,6 +63,7 @@
       {{"\"zone\": \"hel-a\",", "\"zone\": \"hel-z\","}, "zones"},
       {{"10.2.0.42:8649", "somewhere"}, "seeds[1]"},
       {{"\"10s\"", "\"ten\""}, "bounds.retry_window"},
+      {{"\"10s\"", "\"0ms\""}, "bounds.retry_window"},
       {{"\"0.2\"", "\"-1\""}, "bounds.retry_ratio"},
       {{"4100", "1"}, "descriptors"},
       {{"\"store\"", "\"shop\""}, "store"}};
@@ -64,4 +78,31 @@
   }
 }
 
+// A host that only reads the file on a signal keeps old limits when the platform rewrites it
+// without one.
+TEST_CASE("A rewritten settings file is noticed") {
+  const SettingsFile file;
+  EdgeSettingsWatch watch(file.path, EdgeSettings::Parse(kSettings, "f"));
+  REQUIRE(watch.Check() == SettingsChange::kNone);
+  file.Write(Replaced("\"56\"", "\"9\""));
+  REQUIRE(watch.Check() == SettingsChange::kChanged);
+  REQUIRE(watch.current().bounds.retry_allowance == 9);
+  REQUIRE(watch.Check() == SettingsChange::kNone);
+}
+
+// A fault repeated at each check would fill the log; one that replaced the settings would stop the
+// host.
+TEST_CASE("A faulty settings file is refused once and changes nothing") {
+  const SettingsFile file;
+  EdgeSettingsWatch watch(file.path, EdgeSettings::Parse(kSettings, "f"));
+  file.Write("{");
+  REQUIRE(watch.Check() == SettingsChange::kRefused);
+  REQUIRE(!watch.fault().empty());
+  REQUIRE(watch.Check() == SettingsChange::kNone);
+  REQUIRE(watch.current() == EdgeSettings::Parse(kSettings, "f"));
+  file.Write(kSettings);
+  REQUIRE(watch.Check() == SettingsChange::kNone);
+  REQUIRE(watch.fault().empty());
+}
+
 }  // namespace mangonotch::settings
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -62,6 +62,7 @@
   /// `port` and `observer` must outlive the engine.
   Engine(EngineSettings settings, Port& port, Observer& observer);
 
+  void SetRepeatLimits(const RepeatLimits& limits, base::Instant now);
   void ApplyCatalog(catalog::CatalogPtr catalog, base::Instant now);
   /// The hosts by which sums over all hosts are divided: their number, this one included, and the
   /// keys of the others in this region.
--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -12,6 +12,12 @@
   return services_.try_emplace(name, name, settings_.repeats).first->second;
 }
 
+template <typename Port, DecisionObserver Observer>
+void Engine<Port, Observer>::SetRepeatLimits(const RepeatLimits& limits, base::Instant now) {
+  settings_.repeats = limits;
+  for (auto& [name, service] : services_) service.budget().SetLimits(limits, now);
+}
+
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::ApplyCatalog(catalog::CatalogPtr next, base::Instant now) {
   const catalog::CatalogPtr before = std::exchange(catalog_, std::move(next));
--- a/src/steering/internal/repeat_budget.cc
+++ b/src/steering/internal/repeat_budget.cc
@@ -15,6 +15,16 @@
 
 }  // namespace
 
+void RepeatBudget::SetLimits(const RepeatLimits& limits, base::Instant now) {
+  if (limits.window != limits_.window) {
+    SlidingCount repeats(limits.window);
+    repeats.Add(now, repeats_.Count(now));
+    repeats_ = repeats;
+    requests_ = SlidingCount(limits.window);
+  }
+  limits_ = limits;
+}
+
 double RepeatBudget::Left(std::uint32_t hosts, base::Instant now) {
   const double earned = limits_.ratio * kRatioShare * requests_.Count(now);
   const double part =
--- a/src/steering/repeat_budget.h
+++ b/src/steering/repeat_budget.h
@@ -25,6 +25,10 @@
   explicit RepeatBudget(const RepeatLimits& limits)
       : limits_(limits), requests_(limits.window), repeats_(limits.window) {}
 
+  /// Takes over other limits. Repeats of the window before count as made at `now`, its requests do
+  /// not count, so that the sum stays within either limit.
+  void SetLimits(const RepeatLimits& limits, base::Instant now);
+
   void OnRequest(base::Instant now) { requests_.Add(now); }
 
   /// Takes one repeat; false when there is none left. `hosts` is the number of hosts that may draw
--- a/src/steering/sliding_count.h
+++ b/src/steering/sliding_count.h
@@ -13,10 +13,10 @@
   /// `window` is the span over which events count; it is at least ten nanoseconds.
   explicit SlidingCount(base::Duration window) : bucket_span_(window / kBuckets) {}
 
-  void Add(base::Instant now) {
+  void Add(base::Instant now, std::uint32_t events = 1) {
     AdvanceTo(now);
-    ++counts_[static_cast<std::size_t>(bucket_ % kSlots)];
-    ++total_;
+    counts_[static_cast<std::size_t>(bucket_ % kSlots)] += events;
+    total_ += events;
   }
 
   /// Events in the window that ends at `now`, and up to one bucket before it.
--- a/src/steering/tests/budget_test.cc
+++ b/src/steering/tests/budget_test.cc
@@ -61,4 +61,16 @@
   REQUIRE(repeats <= 56);
 }
 
+// A host that started anew with each change of its limits would spend them once for each change.
+TEST_CASE("Repeats already made count under new limits") {
+  RepeatBudget budget({.ratio = 0, .allowance = 20});
+  while (budget.TryRepeat(1, At(0))) {
+  }
+  budget.SetLimits({.ratio = 0, .allowance = 22, .window = base::Duration::Seconds(20)}, At(10));
+  REQUIRE(budget.TryRepeat(1, At(20)));
+  REQUIRE_FALSE(budget.TryRepeat(1, At(20)));
+  REQUIRE_FALSE(budget.TryRepeat(1, At(15'000)));
+  REQUIRE(budget.TryRepeat(1, At(25'000)));
+}
+
 }  // namespace mangonotch::steering
