Hold a loopback network for each soak, so that runs on one machine do not meet

Cause: the hosts' addresses followed from the seed alone. Traced in the logs of the runs' hosts: 'listen [127.2.7.1:7100]: Address already in use', 21 times; callers of one run reached the other's targets. Ruled out: the product; the same seeds run one at a time break nothing.

--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -57,6 +57,7 @@
 SoakRun::SoakRun(SoakOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
+      network_(context_),
       store_(context_, Address("127.0.0.1", 0)) {
   store_.Put(std::string(platform::testing::kConfigurationName),
              platform::testing::MakeConfiguration(version_, "soak.example", kService));
@@ -77,8 +78,7 @@
   for (int i = 0; i < options_.hosts; ++i) {
     auto host = std::make_unique<Host>();
     host->name = "host-" + std::to_string(i);
-    // A network of its own for each run, so that runs side by side do not meet.
-    host->ip = "127." + std::to_string(1 + options_.seed % 200) + ".7." + std::to_string(i + 1);
+    host->ip = network_.Host(i + 1);
     host->region = kRegions[i % 2];
     host->store_proxy = std::make_unique<FaultProxy>(context_, Address("127.0.0.1", 0),
                                                      Address("127.0.0.1", store_.port()));
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -15,6 +15,7 @@
 #include "platform/testing/stand_in_worker.h"
 #include "tests/soak/fault_proxy.h"
 #include "tests/soak/soak_client.h"
+#include "tests/support/loopback_network.h"
 #include "tests/support/process.h"
 
 namespace mangonotch::soak {
@@ -72,6 +73,8 @@
   SoakOptions options_;
   base::Random random_;
   boost::asio::io_context context_;
+  /// Holds the hosts' addresses.
+  support::LoopbackNetwork network_;
   platform::testing::RunCounts runs_;
   Observations seen_;
   platform::testing::StandInStore store_;
--- /dev/null
+++ b/tests/support/tests/loopback_network_test.cc
@@ -0,0 +1,20 @@
+// Guards against runs on one machine that share addresses: their requests reach each other's
+// targets and look like broken promises.
+#include "tests/support/loopback_network.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+namespace mangonotch::support {
+
+TEST_CASE("Networks held at the same time differ, and one that was given up is free again") {
+  boost::asio::io_context context;
+  std::optional<LoopbackNetwork> first(context);
+  const LoopbackNetwork second(context);
+  REQUIRE(first->Host(1) != second.Host(1));
+  first.reset();
+  const LoopbackNetwork third(context);
+  REQUIRE(third.Host(1) != second.Host(1));
+}
+
+}  // namespace mangonotch::support
