--- a/tests/support/loopback_network.cc
+++ b/tests/support/loopback_network.cc
@@ -1,6 +1,8 @@
 // Finding a loopback network that is free.
 #include "tests/support/loopback_network.h"
 
+#include <cstdint>
+
 #include "base/error.h"
 
 namespace mangonotch::support {
@@ -8,7 +10,7 @@
 
 constexpr int kNetworks = 250;
 constexpr const char* kGuardHost = "254";
-constexpr unsigned short kGuardPort = 7099;
+constexpr std::uint16_t kGuardPort = 7099;
 
 }  // namespace
 
