Log from which host the catalog comes, and how far it has followed the store

Added: the line catalog_source when a host begins to take its catalog from another one, catalog_fetch_failed with its cause (these failures were swallowed), the store revisions in catalog_changed, and the gauges mangonotch_operator_revision and mangonotch_targets_revision, by which monitoring sees a host that falls behind the others. No decision is changed.

--- a/src/app/internal/catalog_report.cc
+++ b/src/app/internal/catalog_report.cc
@@ -8,7 +8,8 @@
 
 namespace mangonotch::app {
 
-void LogCatalog(const catalog::Catalog& catalog, std::string_view source) {
+void LogCatalog(const catalog::Catalog& catalog, const discovery::Registry& registry,
+                std::string_view source) {
   const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
   const auto draining = std::count_if(catalog.targets.begin(), catalog.targets.end(),
                                       [](const catalog::Target& it) { return it.is_draining; });
@@ -21,7 +22,9 @@
                 {"targets", catalog.targets.size()},
                 {"draining", draining},
                 {"evacuated", evacuated},
-                {"source", source}});
+                {"source", source},
+                {"operator_revision", registry.operator_revision()},
+                {"targets_revision", registry.targets_revision()}});
 }
 
 }  // namespace mangonotch::app
--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -269,8 +269,8 @@
   if (HasFreshCatalog()) gossip_.AnnounceLocally();
   has_configuration_ = has_configuration_ || catalog->configuration;
   has_targets_ = has_targets_ || !catalog->targets.empty();
-  LogCatalog(*catalog, HasFreshCatalog() ? "store" : "host");
-  gauges_.ReportCatalog(*catalog);
+  LogCatalog(*catalog, registry_, HasFreshCatalog() ? "store" : "host");
+  gauges_.ReportCatalog(*catalog, registry_);
   traffic_.Post([catalog](TrafficThread::Proxy& proxy) { proxy.ApplyCatalog(catalog); });
 }
 
--- a/src/app/internal/host_gauges.cc
+++ b/src/app/internal/host_gauges.cc
@@ -8,6 +8,12 @@
                                                "Version of the configuration in force")),
       targets_known_(
           registry.AddGauge("mangonotch_targets", "Known targets, including draining ones")),
+      operator_revision_(registry.AddGauge(
+          "mangonotch_operator_revision",
+          "Store revision up to which the operators' records are known to this host")),
+      targets_revision_(
+          registry.AddGauge("mangonotch_targets_revision",
+                            "Store revision up to which the targets are known to this host")),
       hosts_live_(registry.AddGauge("mangonotch_hosts_live",
                                     "Hosts heard from recently, including this one")),
       log_lines_dropped_(registry.AddGauge(
@@ -25,10 +31,13 @@
       malformed_requests_(registry.AddGauge("mangonotch_malformed_requests",
                                             "Requests refused by the parser since the start")) {}
 
-void HostGauges::ReportCatalog(const catalog::Catalog& catalog) {
+void HostGauges::ReportCatalog(const catalog::Catalog& catalog,
+                               const discovery::Registry& registry) {
   const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
   configuration_version_.Set(static_cast<double>(version));
   targets_known_.Set(static_cast<double>(catalog.targets.size()));
+  operator_revision_.Set(static_cast<double>(registry.operator_revision()));
+  targets_revision_.Set(static_cast<double>(registry.targets_revision()));
 }
 
 void HostGauges::ReportControl(std::uint32_t hosts_live, std::uint64_t log_lines_dropped) {
--- a/src/app/internal/host_gauges.h
+++ b/src/app/internal/host_gauges.h
@@ -5,6 +5,7 @@
 
 #include "app/internal/traffic_thread.h"
 #include "catalog/catalog.h"
+#include "discovery/registry.h"
 #include "metrics/registry.h"
 
 namespace mangonotch::app {
@@ -15,13 +16,15 @@
   /// `registry` must outlive the gauges.
   explicit HostGauges(metrics::Registry& registry);
 
-  void ReportCatalog(const catalog::Catalog& catalog);
+  void ReportCatalog(const catalog::Catalog& catalog, const discovery::Registry& registry);
   void ReportControl(std::uint32_t hosts_live, std::uint64_t log_lines_dropped);
   void ReportTraffic(const TrafficThread::Proxy& proxy);
 
  private:
   metrics::Gauge configuration_version_;
   metrics::Gauge targets_known_;
+  metrics::Gauge operator_revision_;
+  metrics::Gauge targets_revision_;
   metrics::Gauge hosts_live_;
   metrics::Gauge log_lines_dropped_;
   metrics::Gauge requests_open_;
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -54,7 +54,8 @@
   void Receive();
   void OnInterval();
   void FetchIfBehind();
-  void OnFetched(std::uint64_t incarnation, const http1::ExchangeResult& result);
+  void OnFetched(const base::HostId& host, std::uint64_t incarnation,
+                 const http1::ExchangeResult& result);
   void CloseFetch();
   void SendTo(std::span<const base::Endpoint> receivers, bool with_loads,
               const fleet::Members::ContactLists& contacts);
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -8,6 +8,7 @@
 #include "base/error.h"
 #include "http1/asio_address.h"
 #include "http1/clock.h"
+#include "logging/log.h"
 #include "peering/codec.h"
 
 namespace mangonotch::peering {
@@ -131,13 +132,23 @@
 
 void Gossip::FetchIfBehind() {
   const base::Instant now = http1::Now();
-  if (fetch_ && now >= fetch_deadline_) CloseFetch();
+  if (fetch_ && now >= fetch_deadline_) {
+    CloseFetch();
+    logging::Log(logging::Level::kWarning, "catalog_fetch_failed", {{"cause", "timed out"}});
+  }
   if (fetch_ || callbacks_.has_fresh_catalog()) return;
   const fleet::Heartbeat* const source = members_.FindCatalogSource(now);
   if (source == nullptr) return;
   const bool is_known_source = source->incarnation == source_incarnation_;
   if (is_known_source && source->catalog_sequence <= source_sequence_) return;
   const std::uint64_t since = is_known_source ? source_sequence_ : 0;
+  if (!is_known_source) {
+    logging::Log(logging::Level::kInfo, "catalog_source",
+                 {{"host", source->sender.host},
+                  {"sequence", source->catalog_sequence},
+                  {"own_operator_revision", registry_.operator_revision()},
+                  {"own_targets_revision", registry_.targets_revision()}});
+  }
   fetch_deadline_ = now + kFetchTimeout;
   fetch_ = std::make_shared<http1::ClientConnection>(
       context_, http1::ClientLimits{.connect_time = kFetchTimeout});
@@ -147,9 +158,8 @@
   fetch_->Exchange(
       source->sender.peers, http1::Serialize(request), false,
       [](const http1::Response&) { return true; },
-      [this, incarnation = source->incarnation](const http1::ExchangeResult& result) {
-        OnFetched(incarnation, result);
-      });
+      [this, host = source->sender.host, incarnation = source->incarnation](
+          const http1::ExchangeResult& result) { OnFetched(host, incarnation, result); });
 }
 
 void Gossip::CloseFetch() {
@@ -157,11 +167,20 @@
   fetch_.reset();
 }
 
-void Gossip::OnFetched(std::uint64_t incarnation, const http1::ExchangeResult& result) {
+void Gossip::OnFetched(const base::HostId& host, std::uint64_t incarnation,
+                       const http1::ExchangeResult& result) {
   CloseFetch();
-  if (result.error != http1::ExchangeError::kNone) return;
+  if (result.error != http1::ExchangeError::kNone) {
+    logging::Log(logging::Level::kWarning, "catalog_fetch_failed",
+                 {{"host", host}, {"cause", result.detail}});
+    return;
+  }
   const auto changes = DecodeChanges(result.response.body, http1::Now());
-  if (!changes) return;
+  if (!changes) {
+    logging::Log(logging::Level::kWarning, "catalog_fetch_failed",
+                 {{"host", host}, {"cause", "malformed answer"}});
+    return;
+  }
   source_incarnation_ = incarnation;
   source_sequence_ = changes->sequence;
   registry_.Merge(*changes, http1::Now());
