--- /dev/null
+++ b/src/peering/tests/gossip_test.cc
@@ -0,0 +1,123 @@
+// Runs hosts that exchange heartbeats and catalog changes over loopback sockets. Guards against a
+// host that stays behind the store while another host could bring it up to date.
+#include "peering/gossip.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "base/hash.h"
+#include "http1/clock.h"
+#include "http1/tests/loopback.h"
+
+namespace mangonotch::peering {
+namespace {
+
+using base::Duration;
+
+/// A port that was free for both TCP and UDP a moment ago.
+std::uint16_t FreePort() {
+  boost::asio::io_context context;
+  const boost::asio::ip::address_v4 loopback = boost::asio::ip::address_v4::loopback();
+  while (true) {
+    boost::asio::ip::tcp::acceptor acceptor(context, {loopback, 0});
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+    boost::system::error_code ec;
+    socket.bind({loopback, port}, ec);
+    if (!ec) return port;
+  }
+}
+
+std::shared_ptr<const catalog::Configuration> MakeConfiguration(std::uint64_t version) {
+  auto configuration = std::make_shared<catalog::Configuration>();
+  configuration->version = version;
+  return configuration;
+}
+
+catalog::Target MakeTarget(const std::string& id, bool is_draining) {
+  catalog::Target target;
+  target.id = id;
+  target.is_draining = is_draining;
+  return target;
+}
+
+/// A host with the state that its store watches would maintain.
+struct TestHost {
+  TestHost(boost::asio::io_context& context, const std::string& name, const std::string& zone,
+           bool watches_store)
+      : is_fresh(watches_store),
+        members({.host = name, .zone = zone, .callers = {}, .peers = http1::LoopbackAt(FreePort())},
+                {{"a1", "A"}, {"b1", "B"}}, {}),
+        registry(Duration::Seconds(2)),
+        gossip(context, members, registry, base::Hash(name),
+               {.fill_heartbeat =
+                    [this](fleet::Heartbeat& heartbeat) {
+                      heartbeat.watches_store = is_fresh;
+                      heartbeat.has_fresh_catalog = is_fresh;
+                    },
+                .on_interval = [] {},
+                .on_merged = [this] { UpdateCatalog(); },
+                .has_fresh_catalog = [this] { return is_fresh; }}) {}
+
+  void UpdateCatalog() {
+    if (const auto next = registry.TakeUpdatedCatalog()) catalog = next;
+  }
+  std::uint64_t ConfigurationVersion() const {
+    return catalog && catalog->configuration ? catalog->configuration->version : 0;
+  }
+  bool KnowsDrainingTarget() const {
+    return catalog && !catalog->targets.empty() && catalog->targets.front().is_draining;
+  }
+
+  bool is_fresh;
+  fleet::Members members;
+  discovery::Registry registry;
+  catalog::CatalogPtr catalog;
+  Gossip gossip;
+};
+
+/// Two watchers and a follower. All know version 1 and a target.
+struct Fixture {
+  explicit Fixture(const std::string& zone_of_second = "a1")
+      : first(context, "host-1", "a1", true),
+        second(context, "host-2", zone_of_second, true),
+        follower(context, "host-3", "a1", false) {
+    for (TestHost* host : {&first, &second}) {
+      host->registry.PutConfiguration(MakeConfiguration(1), 10);
+      host->registry.PutTarget(MakeTarget("t1", false), 11);
+      host->registry.AdvanceTargets(11);
+      host->UpdateCatalog();
+    }
+    const TestHost* const hosts[] = {&first, &second, &follower};
+    for (TestHost* host : {&first, &second, &follower}) {
+      for (const TestHost* it : hosts) {
+        host->members.AddContact(it->members.self().peers, http1::Now());
+      }
+      host->gossip.Start();
+    }
+    REQUIRE(RunUntil([this] { return follower.ConfigurationVersion() == 1; }));
+    // Every host has received heartbeats of all the others.
+    for (int i = 0; i < 10; ++i) http1::RunBriefly(context);
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    return http1::RunContext(context, condition);
+  }
+
+  boost::asio::io_context context;
+  TestHost first;
+  TestHost second;
+  TestHost follower;
+};
+
+}  // namespace
+
+TEST_CASE("A host whose source has a silent store watch gets the configuration from another host") {
+  Fixture fixture;
+  fixture.second.registry.PutConfiguration(MakeConfiguration(2), 20);
+  REQUIRE(fixture.RunUntil([&] { return fixture.follower.ConfigurationVersion() == 2; }));
+}
+
+}  // namespace mangonotch::peering
