Let a host compare how far each host has followed the store

What callers saw: a route that had been added was answered with 404 for up to 3.6 s, and a leaving target got work.

Cause: a pending watch of the store looks the same whether nothing changes or nothing arrives. A watcher that is cut off calls its catalog fresh until the watch times out (3.7 s). Its followers trusted it: they chose the first fresh host by name and compared only that host's own sequence number, which says nothing about what other hosts know. Ruled out: lost heartbeats (the follower would have watched the store after 1.8 s) and rejected changes (the source had none).

Change: heartbeats carry the store revisions of the newest change of the operators' records and of the targets, which can be compared between hosts. fleet::CatalogSync, without input or output, chooses the host to fetch from: a follower stays with its source until it has missed a change for 200 ms, then moves to a host that has it, from another region if need be. A watcher that has missed a change for 500 ms fetches it too, and abandons its silent watch. Sequence numbers are kept by source, so that moving between sources does not transfer the whole catalog again.

--- a/src/app/internal/catalog_report.cc
+++ b/src/app/internal/catalog_report.cc
@@ -23,8 +23,8 @@
                 {"draining", draining},
                 {"evacuated", evacuated},
                 {"source", source},
-                {"operator_revision", registry.operator_revision()},
-                {"targets_revision", registry.targets_revision()}});
+                {"operator_revision", registry.applied().operator_records},
+                {"targets_revision", registry.applied().targets}});
 }
 
 }  // namespace mangonotch::app
--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -134,6 +134,8 @@
   platform::SinkContext SinkContextOf();
   peering::Gossip::Callbacks GossipCallbacks();
   void PublishCatalog();
+  /// The changes of another host have been merged.
+  void OnMerged(const fleet::CatalogRequest& request);
   void ExchangeLoads();
   /// Starts or stops watching the store, depending on whether this host has to.
   void UpdateStoreWatches();
@@ -239,7 +241,7 @@
                 ExchangeLoads();
                 UpdateStoreWatches();
               },
-          .on_merged = [this] { PublishCatalog(); },
+          .on_merged = [this](const fleet::CatalogRequest& request) { OnMerged(request); },
           .has_fresh_catalog = [this] { return HasFreshCatalog(); }};
 }
 
@@ -274,6 +276,15 @@
   traffic_.Post([catalog](TrafficThread::Proxy& proxy) { proxy.ApplyCatalog(catalog); });
 }
 
+void EdgeHost::Control::OnMerged(const fleet::CatalogRequest& request) {
+  PublishCatalog();
+  if (!request.is_behind) return;
+  targets_feed_.OnChangeMissed(registry_.newest().targets);
+  operator_records_feed_.OnChangeMissed(registry_.newest().operator_records);
+  // The watchers of this region may all be behind, and heartbeats from other regions are rare.
+  if (!members_.IsInOwnRegion(request.source)) gossip_.AnnounceLocally();
+}
+
 void EdgeHost::Control::ExchangeLoads() {
   const base::Instant now = http1::Now();
   gauges_.ReportControl(members_.CountLive(now), log_.dropped_lines());
--- a/src/app/internal/host_gauges.cc
+++ b/src/app/internal/host_gauges.cc
@@ -36,8 +36,8 @@
   const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
   configuration_version_.Set(static_cast<double>(version));
   targets_known_.Set(static_cast<double>(catalog.targets.size()));
-  operator_revision_.Set(static_cast<double>(registry.operator_revision()));
-  targets_revision_.Set(static_cast<double>(registry.targets_revision()));
+  operator_revision_.Set(static_cast<double>(registry.applied().operator_records));
+  targets_revision_.Set(static_cast<double>(registry.applied().targets));
 }
 
 void HostGauges::ReportControl(std::uint32_t hosts_live, std::uint64_t log_lines_dropped) {
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -16,6 +16,11 @@
 }  // namespace
 
 void Registry::PutTarget(const catalog::Target& target, StoreRevision revision) {
+  AdvanceNewest({.targets = revision});
+  ApplyTarget(target, revision);
+}
+
+void Registry::ApplyTarget(const catalog::Target& target, StoreRevision revision) {
   if (LastRemovalRevision(target.id) >= revision) return;
   const auto [it, is_new] = targets_.try_emplace(target.id);
   Entry& entry = it->second;
@@ -50,6 +55,7 @@
 }
 
 void Registry::RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now) {
+  AdvanceNewest({.targets = revision});
   const auto it = targets_.find(id);
   if (it == targets_.end() || revision <= it->second.revision) return;
   const bool is_recovering =
@@ -64,7 +70,12 @@
 
 void Registry::PutConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
                                 StoreRevision revision) {
-  operator_revision_ = std::max(operator_revision_, revision);
+  AdvanceOperatorRecords(revision);
+  AdvanceNewest({.operator_records = revision});
+  ApplyConfiguration(std::move(configuration));
+}
+
+void Registry::ApplyConfiguration(std::shared_ptr<const catalog::Configuration> configuration) {
   const bool is_newer =
       configuration && (!configuration_ || configuration->version > configuration_->version);
   if (!is_newer) return;
@@ -74,7 +85,8 @@
 
 void Registry::PutEvacuation(std::string_view zone, bool is_evacuated, StoreRevision revision,
                              base::Instant now) {
-  operator_revision_ = std::max(operator_revision_, revision);
+  AdvanceOperatorRecords(revision);
+  AdvanceNewest({.operator_records = revision});
   SetEvacuated(zone, is_evacuated, now);
 }
 
@@ -119,7 +131,7 @@
   std::set<std::string_view> listed;
   for (const catalog::Target& it : targets) {
     listed.insert(it.id);
-    PutTarget(it, revision);
+    ApplyTarget(it, revision);
   }
   for (auto it = targets_.begin(); it != targets_.end();) {
     Entry& entry = it->second;
@@ -139,7 +151,8 @@
                                       std::span<const std::string> evacuated_zones,
                                       StoreRevision revision, base::Instant now) {
   if (revision < operator_revision_) return;
-  PutConfiguration(std::move(configuration), revision);
+  AdvanceOperatorRecords(revision);
+  ApplyConfiguration(std::move(configuration));
   const std::set<std::string, std::less<>> next(evacuated_zones.begin(), evacuated_zones.end());
   for (const std::string& it : std::vector(evacuated_zones_.begin(), evacuated_zones_.end())) {
     if (!next.contains(it)) SetEvacuated(it, false, now);
@@ -152,7 +165,8 @@
       .sequence = sequence_,
       .is_full = sequence == 0 || sequence < compacted_sequence_ || sequence > sequence_,
       .targets_revision = targets_revision_,
-      .operator_revision = operator_revision_};
+      .operator_revision = operator_revision_,
+      .newest = newest_};
   for (const auto& [id, entry] : targets_) {
     if (changes.is_full || entry.sequence > sequence) {
       changes.targets.push_back({entry.target, entry.revision});
@@ -176,7 +190,7 @@
   std::set<std::string_view> listed;
   for (const TargetChange& it : changes.targets) {
     listed.insert(it.target.id);
-    PutTarget(it.target, it.revision);
+    ApplyTarget(it.target, it.revision);
   }
   for (const TargetRemoval& it : changes.removals) {
     const auto entry = targets_.find(it.id);
@@ -192,6 +206,8 @@
     }
   }
   AdvanceTargets(changes.targets_revision);
+  AdvanceOperatorRecords(changes.operator_revision);
+  AdvanceNewest(changes.newest);
 }
 
 base::Instant Registry::Expire(base::Instant now) {
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -14,11 +14,12 @@
 
 #include "base/instant.h"
 #include "catalog/catalog.h"
+#include "catalog/store_position.h"
 
 namespace mangonotch::discovery {
 
-/// Revision of the store at which a record was read; increases with every write to the store.
-using StoreRevision = std::uint64_t;
+using catalog::StorePosition;
+using catalog::StoreRevision;
 
 struct TargetChange {
   catalog::Target target;
@@ -46,6 +47,8 @@
   std::shared_ptr<const catalog::Configuration> configuration{};
   /// Ignored without a configuration.
   std::vector<std::string> evacuated_zones{};
+  /// Newest changes that the sender has applied.
+  StorePosition newest{};
 };
 
 class Registry {
@@ -70,6 +73,9 @@
   /// Records that all changes up to `revision` have been applied.
   void AdvanceTargets(StoreRevision revision);
   void AdvanceOperatorRecords(StoreRevision revision);
+  /// Records the newest changes among listed records, whose own revisions are lower than that of
+  /// the listing.
+  void AdvanceNewest(const StorePosition& newest) { newest_ = catalog::Latest(newest_, newest); }
 
   /// Replaces the targets by a full listing at `revision`. With `is_after_outage`, targets missing
   /// from the listing that were not draining are kept for the recovery time.
@@ -89,8 +95,13 @@
   /// Applies those changes of another host that are newer than the local state.
   void Merge(const CatalogChanges& changes, base::Instant now);
 
-  StoreRevision targets_revision() const { return targets_revision_; }
-  StoreRevision operator_revision() const { return operator_revision_; }
+  /// All changes up to this position have been applied.
+  StorePosition applied() const {
+    return {.operator_records = operator_revision_, .targets = targets_revision_};
+  }
+  /// The newest changes that have been applied; never after `applied()`, which also advances while
+  /// nothing changes. Other hosts that have applied less are behind this one.
+  const StorePosition& newest() const { return newest_; }
 
   /// Removes entries whose recovery time has expired. Returns the time of the next expiry, Never()
   /// if there is none.
@@ -110,6 +121,9 @@
 
   using Entries = std::map<std::string, Entry, std::less<>>;
 
+  void ApplyTarget(const catalog::Target& target, StoreRevision revision);
+  void ApplyConfiguration(std::shared_ptr<const catalog::Configuration> configuration);
+
   /// Revision of the target's latest recorded removal, 0 if there is none. Older records of the
   /// target, which partitioned hosts may still send, must not add it again.
   StoreRevision LastRemovalRevision(std::string_view id) const;
@@ -123,6 +137,7 @@
   base::Instant outage_end_ = base::Instant::Never();
   StoreRevision targets_revision_ = 0;
   StoreRevision operator_revision_ = 0;
+  StorePosition newest_;
   std::shared_ptr<const catalog::Configuration> configuration_;
   Entries targets_;
   std::set<std::string, std::less<>> evacuated_zones_;
--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -56,6 +56,31 @@
   REQUIRE(registry.TakeUpdatedCatalog() == nullptr);
 }
 
+TEST_CASE("A host that has listed the targets is not behind one that has read their changes") {
+  Registry lister(kRecovery);
+  const std::vector<catalog::Target> targets = {MakeTarget("t1")};
+  lister.ReplaceTargets(targets, 100, false, At(0));
+  lister.AdvanceNewest({.targets = 90});
+  Registry watcher(kRecovery);
+  watcher.PutTarget(MakeTarget("t1"), 90);
+  watcher.RemoveTarget("t2", 95, At(0));
+  watcher.AdvanceTargets(95);
+  REQUIRE_FALSE(catalog::IsBehind(lister.applied(), watcher.newest()));
+  REQUIRE_FALSE(catalog::IsBehind(watcher.applied(), lister.newest()));
+}
+
+TEST_CASE("A host that has merged the changes of another is not behind it") {
+  Registry source(kRecovery);
+  source.PutConfiguration(MakeConfiguration(7), 100);
+  source.PutTarget(MakeTarget("t1"), 101);
+  source.AdvanceTargets(101);
+  Registry follower(kRecovery);
+  REQUIRE(catalog::IsBehind(follower.applied(), source.newest()));
+  follower.Merge(source.ChangesSince(0), At(0));
+  REQUIRE_FALSE(catalog::IsBehind(follower.applied(), source.newest()));
+  REQUIRE(follower.newest() == source.newest());
+}
+
 TEST_CASE("A configuration never reverts to an older version") {
   Registry registry(kRecovery);
   registry.PutConfiguration(MakeConfiguration(7), 100);
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -7,6 +7,7 @@
 
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "catalog/store_position.h"
 
 namespace mangonotch::fleet {
 
@@ -45,6 +46,9 @@
   bool has_fresh_catalog = false;
   /// Increases with each change of the sender's catalog; restarts with each incarnation.
   std::uint64_t catalog_sequence = 0;
+  /// Newest changes of the store in the sender's catalog. Unlike `catalog_sequence`, it can be
+  /// compared between hosts.
+  catalog::StorePosition newest{};
   std::vector<TargetLoad> loads{};
   /// Peer addresses of other hosts, through which each host discovers all others.
   std::vector<base::Endpoint> contacts{};
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -134,15 +134,30 @@
   return fresh_count < kWatchersPerRegion && watching_count < kMaxActiveWatchersPerRegion;
 }
 
-const Heartbeat* Members::FindCatalogSource(base::Instant now) const {
+template <typename Condition>
+const Heartbeat* Members::FindNearest(base::Instant now, Condition condition) const {
   const Member* best = nullptr;
   for (const auto& [host, member] : members_) {
-    if (!IsLive(member, now) || !member.last_heartbeat.has_fresh_catalog) continue;
+    if (!IsLive(member, now) || !condition(member.last_heartbeat)) continue;
     if (best == nullptr || (IsLocal(member) && !IsLocal(*best))) best = &member;
   }
   return best == nullptr ? nullptr : &best->last_heartbeat;
 }
 
+const Heartbeat* Members::FindCatalogSource(base::Instant now) const {
+  return FindNearest(now, [](const Heartbeat& it) { return it.has_fresh_catalog; });
+}
+
+const Heartbeat* Members::FindAhead(const catalog::StorePosition& applied,
+                                    base::Instant now) const {
+  return FindNearest(now,
+                     [&](const Heartbeat& it) { return catalog::IsBehind(applied, it.newest); });
+}
+
+const Heartbeat* Members::FindLive(base::Incarnation incarnation, base::Instant now) const {
+  return FindNearest(now, [&](const Heartbeat& it) { return it.incarnation == incarnation; });
+}
+
 std::string_view Members::RegionOf(std::string_view zone) const {
   const auto it = zones_.find(zone);
   if (it == zones_.end()) return {};
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -65,6 +65,14 @@
   /// The last heartbeat of a live host with a fresh catalog, preferably of this region; null if
   /// there is none.
   const Heartbeat* FindCatalogSource(base::Instant now) const;
+  /// The last heartbeat of a live host that knows a change after `applied`, preferably of this
+  /// region; null if there is none.
+  const Heartbeat* FindAhead(const catalog::StorePosition& applied, base::Instant now) const;
+  /// The last heartbeat of a live host; null if that incarnation is not known or not live.
+  const Heartbeat* FindLive(base::Incarnation incarnation, base::Instant now) const;
+  bool IsInOwnRegion(const HostRecord& record) const {
+    return RegionOf(record.zone) == RegionOf(self_.zone);
+  }
 
   /// Caller addresses for callers of a region: the live hosts there that are not stopping, or those
   /// of all regions if the region has none. This host is excluded if `is_leaving` is set, unless
@@ -81,9 +89,11 @@
   };
 
   bool IsLive(const Member& member, base::Instant now) const;
-  bool IsLocal(const Member& member) const {
-    return RegionOf(member.last_heartbeat.sender.zone) == RegionOf(self_.zone);
-  }
+  bool IsLocal(const Member& member) const { return IsInOwnRegion(member.last_heartbeat.sender); }
+  /// The last heartbeat of a live host for which `condition` holds, preferably of this region; null
+  /// if there is none.
+  template <typename Condition>
+  const Heartbeat* FindNearest(base::Instant now, Condition condition) const;
   std::string_view RegionOf(std::string_view zone) const;
 
   HostRecord self_;
--- /dev/null
+++ b/src/fleet/tests/catalog_sync_test.cc
@@ -0,0 +1,110 @@
+// Tests the choice of the host to fetch the catalog from. Guards against a host that trusts its
+// source, or its own store watches, while other hosts know more.
+#include "fleet/catalog_sync.h"
+
+#include <catch2/catch.hpp>
+
+namespace mangonotch::fleet {
+namespace {
+
+using catalog::StorePosition;
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+base::Endpoint MakeEndpoint(std::uint16_t port) {
+  base::Endpoint endpoint;
+  endpoint.port = port;
+  return endpoint;
+}
+
+struct Fixture {
+  /// A heartbeat of a host whose name is its incarnation. Names order the hosts.
+  void Hear(base::Incarnation host, const std::string& zone, bool is_fresh,
+            const StorePosition& newest, std::uint64_t catalog_sequence, std::int64_t ms) {
+    members.OnHeartbeat({.sender = {.host = std::to_string(host),
+                                    .zone = zone,
+                                    .callers = {},
+                                    .peers = MakeEndpoint(static_cast<std::uint16_t>(host))},
+                         .incarnation = host,
+                         .sequence = ++heartbeat_sequence,
+                         .has_fresh_catalog = is_fresh,
+                         .catalog_sequence = catalog_sequence,
+                         .newest = newest},
+                        At(ms));
+  }
+  std::optional<CatalogRequest> Next(const StorePosition& applied, bool is_fresh, std::int64_t ms) {
+    return sync.Next(members, applied, is_fresh, At(ms));
+  }
+
+  Members members{{.host = "self", .zone = "a1"}, {{"a1", "A"}, {"b1", "B"}}, {}};
+  CatalogSync sync;
+  std::uint64_t heartbeat_sequence = 0;
+};
+
+}  // namespace
+
+TEST_CASE("A follower fetches from its source whenever the source's catalog has changed") {
+  Fixture fixture;
+  fixture.Hear(1, "a1", true, {10, 10}, 5, 0);
+  REQUIRE(fixture.Next({}, false, 0)->since == 0);
+  fixture.sync.OnFetched(1, 5);
+  REQUIRE_FALSE(fixture.Next({10, 10}, false, 1));
+  fixture.Hear(1, "a1", true, {10, 10}, 6, 50);
+  REQUIRE(fixture.Next({10, 10}, false, 50)->since == 5);
+}
+
+TEST_CASE("A follower of a source that has stopped moves to a host that is ahead and stays there") {
+  Fixture fixture;
+  fixture.Hear(1, "a1", true, {10, 10}, 5, 0);
+  fixture.sync.OnFetched(1, 5);
+  fixture.Hear(2, "a1", true, {20, 10}, 7, 0);
+  REQUIRE_FALSE(fixture.Next({10, 10}, false, 0));
+  const auto request = fixture.Next({10, 10}, false, 200);
+  REQUIRE(request);
+  REQUIRE(request->incarnation == 2);
+  REQUIRE(request->is_behind);
+  fixture.sync.OnFetched(2, 7);
+  fixture.Hear(2, "a1", true, {30, 10}, 8, 300);
+  const auto next = fixture.Next({20, 10}, false, 300);
+  REQUIRE(next);
+  REQUIRE(next->incarnation == 2);
+  REQUIRE(next->since == 7);
+}
+
+TEST_CASE("A host whose own store watch has missed a change fetches it from another host") {
+  Fixture fixture;
+  fixture.Hear(1, "a1", true, {10, 20}, 5, 0);
+  REQUIRE_FALSE(fixture.Next({10, 10}, true, 0));
+  REQUIRE_FALSE(fixture.Next({10, 10}, true, 300));
+  REQUIRE(fixture.Next({10, 10}, true, 500)->is_behind);
+}
+
+TEST_CASE("A watcher that keeps up with frequent changes is never behind") {
+  Fixture fixture;
+  for (std::uint64_t i = 1; i < 20; ++i) {
+    const auto ms = static_cast<std::int64_t>(i) * 100;
+    fixture.Hear(1, "a1", true, {10 + i, 10}, i, ms);
+    REQUIRE_FALSE(fixture.Next({9 + i, 10}, true, ms));
+  }
+}
+
+TEST_CASE("Changes are fetched from another region when all watchers of the own one are behind") {
+  Fixture fixture;
+  fixture.Hear(1, "a1", true, {10, 10}, 5, 0);
+  fixture.sync.OnFetched(1, 5);
+  fixture.Hear(2, "b1", false, {20, 10}, 9, 0);
+  fixture.Next({10, 10}, false, 0);
+  const auto request = fixture.Next({10, 10}, false, 200);
+  REQUIRE(request);
+  REQUIRE(request->incarnation == 2);
+}
+
+TEST_CASE("Of the hosts that are ahead, one of the own region is preferred") {
+  Fixture fixture;
+  fixture.Hear(1, "b1", true, {20, 10}, 5, 0);
+  fixture.Hear(2, "a1", false, {20, 10}, 5, 0);
+  fixture.Next({10, 10}, true, 0);
+  REQUIRE(fixture.Next({10, 10}, true, 500)->incarnation == 2);
+}
+
+}  // namespace mangonotch::fleet
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -1,5 +1,6 @@
 // Exchanges heartbeats with the other hosts over UDP. Serves catalog changes over HTTP to hosts
-// that do not watch the store, and fetches them from another host when this host does not watch it.
+// that do not watch the store, and fetches them from another host when this host does not watch it
+// or has fallen behind.
 #pragma once
 
 #include <array>
@@ -14,6 +15,7 @@
 
 #include "base/random.h"
 #include "discovery/registry.h"
+#include "fleet/catalog_sync.h"
 #include "fleet/members.h"
 #include "http1/client_connection.h"
 #include "http1/server.h"
@@ -29,8 +31,9 @@
     /// the members.
     std::function<void()> on_interval;
     /// Called after the changes of another host have been merged into the registry.
-    std::function<void()> on_merged;
-    /// Returns whether this host watches the store itself and needs no changes from other hosts.
+    std::function<void(const fleet::CatalogRequest&)> on_merged;
+    /// Returns whether this host watches the store itself and, as far as it can tell, needs no
+    /// changes from other hosts.
     std::function<bool()> has_fresh_catalog;
   };
 
@@ -54,8 +57,9 @@
   void Receive();
   void OnInterval();
   void FetchIfBehind();
-  void OnFetched(const base::HostId& host, std::uint64_t incarnation,
-                 const http1::ExchangeResult& result);
+  void Fetch(const fleet::CatalogRequest& catalog_request);
+  void LogSource(const fleet::CatalogRequest& request);
+  void OnFetched(const fleet::CatalogRequest& request, const http1::ExchangeResult& result);
   void CloseFetch();
   void SendTo(std::span<const base::Endpoint> receivers, bool with_loads,
               const fleet::Members::ContactLists& contacts);
@@ -75,10 +79,9 @@
   base::Random random_;
   std::shared_ptr<http1::ClientConnection> fetch_;
   base::Instant fetch_deadline_;
-  /// Incarnation of the host that sent the last changes, and the sequence number of its catalog
-  /// with these changes applied.
-  std::uint64_t source_incarnation_ = 0;
-  std::uint64_t source_sequence_ = 0;
+  fleet::CatalogSync catalog_sync_;
+  /// Incarnation of the source that was last logged.
+  base::Incarnation logged_source_ = 0;
   /// Heartbeat intervals since the start.
   std::uint64_t interval_count_ = 0;
 };
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -37,6 +37,11 @@
 
 namespace mangonotch::catalog {
 
+template <typename Archive>
+void serialize(Archive& archive, StorePosition& it) {
+  archive(it.operator_records, it.targets);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, WeightedService& it) {
   archive(it.service, it.weight);
@@ -80,7 +85,7 @@
 template <typename Archive>
 void serialize(Archive& archive, Heartbeat& it) {
   archive(it.sender, it.incarnation, it.sequence, it.is_leaving, it.watches_store,
-          it.has_fresh_catalog, it.catalog_sequence, it.loads, it.contacts);
+          it.has_fresh_catalog, it.catalog_sequence, it.newest, it.loads, it.contacts);
 }
 
 }  // namespace mangonotch::fleet
@@ -91,8 +96,8 @@
 using fleet::Heartbeat;
 
 /// The low byte is the format version; it must change with every change of the encoding.
-constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6801;
-constexpr std::uint32_t kChangesMagic = 0x6d6e6301;
+constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6802;
+constexpr std::uint32_t kChangesMagic = 0x6d6e6302;
 
 /// A target with its remaining cold time in place of an instant, which is valid only on the
 /// sender's clock.
@@ -127,11 +132,12 @@
   bool has_configuration = false;
   catalog::Configuration configuration{};
   std::vector<std::string> evacuated_zones{};
+  catalog::StorePosition newest{};
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(sequence, is_full, targets_revision, targets, removals, operator_revision,
-            has_configuration, configuration, evacuated_zones);
+            has_configuration, configuration, evacuated_zones, newest);
   }
 };
 
@@ -179,7 +185,8 @@
                    .is_full = changes.is_full,
                    .targets_revision = changes.targets_revision,
                    .operator_revision = changes.operator_revision,
-                   .evacuated_zones = changes.evacuated_zones};
+                   .evacuated_zones = changes.evacuated_zones,
+                   .newest = changes.newest};
   if (changes.configuration) {
     wire.has_configuration = true;
     wire.configuration = *changes.configuration;
@@ -199,7 +206,8 @@
                                     .is_full = wire->is_full,
                                     .targets_revision = wire->targets_revision,
                                     .operator_revision = wire->operator_revision,
-                                    .evacuated_zones = std::move(wire->evacuated_zones)};
+                                    .evacuated_zones = std::move(wire->evacuated_zones),
+                                    .newest = wire->newest};
   if (wire->has_configuration) {
     changes.configuration =
         std::make_shared<const catalog::Configuration>(std::move(wire->configuration));
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -64,7 +64,8 @@
         if (!ec) {
           if (const auto heartbeat = DecodeHeartbeat({receive_buffer_.data(), n})) {
             members_.OnHeartbeat(*heartbeat, http1::Now());
-            if (heartbeat->has_fresh_catalog) FetchIfBehind();
+            const bool is_ahead = catalog::IsBehind(registry_.applied(), heartbeat->newest);
+            if (heartbeat->has_fresh_catalog || is_ahead) FetchIfBehind();
           }
         }
         Receive();
@@ -89,7 +90,8 @@
   fleet::Heartbeat heartbeat{.sender = members_.self(),
                              .incarnation = incarnation_,
                              .sequence = ++sequence_,
-                             .catalog_sequence = registry_.sequence()};
+                             .catalog_sequence = registry_.sequence(),
+                             .newest = registry_.newest()};
   callbacks_.fill_heartbeat(heartbeat);
   if (!with_loads) heartbeat.loads.clear();
   AddContacts(contacts.local, heartbeat);
@@ -136,30 +138,38 @@
     CloseFetch();
     logging::Log(logging::Level::kWarning, "catalog_fetch_failed", {{"cause", "timed out"}});
   }
-  if (fetch_ || callbacks_.has_fresh_catalog()) return;
-  const fleet::Heartbeat* const source = members_.FindCatalogSource(now);
-  if (source == nullptr) return;
-  const bool is_known_source = source->incarnation == source_incarnation_;
-  if (is_known_source && source->catalog_sequence <= source_sequence_) return;
-  const std::uint64_t since = is_known_source ? source_sequence_ : 0;
-  if (!is_known_source) {
-    logging::Log(logging::Level::kInfo, "catalog_source",
-                 {{"host", source->sender.host},
-                  {"sequence", source->catalog_sequence},
-                  {"own_operator_revision", registry_.operator_revision()},
-                  {"own_targets_revision", registry_.targets_revision()}});
-  }
-  fetch_deadline_ = now + kFetchTimeout;
+  if (fetch_) return;
+  const auto request =
+      catalog_sync_.Next(members_, registry_.applied(), callbacks_.has_fresh_catalog(), now);
+  if (request) Fetch(*request);
+}
+
+void Gossip::Fetch(const fleet::CatalogRequest& catalog_request) {
+  LogSource(catalog_request);
+  fetch_deadline_ = http1::Now() + kFetchTimeout;
   fetch_ = std::make_shared<http1::ClientConnection>(
       context_, http1::ClientLimits{.connect_time = kFetchTimeout});
-  const http1::Request request{.method = "GET",
-                               .target = std::string(kChangesPath) + std::to_string(since),
-                               .headers = {{"Host", source->sender.host}}};
+  const http1::Request request{
+      .method = "GET",
+      .target = std::string(kChangesPath) + std::to_string(catalog_request.since),
+      .headers = {{"Host", catalog_request.source.host}}};
   fetch_->Exchange(
-      source->sender.peers, http1::Serialize(request), false,
+      catalog_request.source.peers, http1::Serialize(request), false,
       [](const http1::Response&) { return true; },
-      [this, host = source->sender.host, incarnation = source->incarnation](
-          const http1::ExchangeResult& result) { OnFetched(host, incarnation, result); });
+      [this, catalog_request](const http1::ExchangeResult& result) {
+        OnFetched(catalog_request, result);
+      });
+}
+
+void Gossip::LogSource(const fleet::CatalogRequest& request) {
+  if (request.incarnation == logged_source_) return;
+  logged_source_ = request.incarnation;
+  logging::Log(logging::Level::kInfo, "catalog_source",
+               {{"host", request.source.host},
+                {"since", request.since},
+                {"behind", request.is_behind},
+                {"own_operator_revision", registry_.applied().operator_records},
+                {"own_targets_revision", registry_.applied().targets}});
 }
 
 void Gossip::CloseFetch() {
@@ -167,24 +177,20 @@
   fetch_.reset();
 }
 
-void Gossip::OnFetched(const base::HostId& host, std::uint64_t incarnation,
-                       const http1::ExchangeResult& result) {
+void Gossip::OnFetched(const fleet::CatalogRequest& request, const http1::ExchangeResult& result) {
   CloseFetch();
-  if (result.error != http1::ExchangeError::kNone) {
-    logging::Log(logging::Level::kWarning, "catalog_fetch_failed",
-                 {{"host", host}, {"cause", result.detail}});
-    return;
-  }
-  const auto changes = DecodeChanges(result.response.body, http1::Now());
+  const bool has_answer = result.error == http1::ExchangeError::kNone;
+  const auto changes =
+      has_answer ? DecodeChanges(result.response.body, http1::Now()) : std::nullopt;
   if (!changes) {
     logging::Log(logging::Level::kWarning, "catalog_fetch_failed",
-                 {{"host", host}, {"cause", "malformed answer"}});
+                 {{"host", request.source.host},
+                  {"cause", has_answer ? std::string_view("malformed answer") : result.detail}});
     return;
   }
-  source_incarnation_ = incarnation;
-  source_sequence_ = changes->sequence;
+  catalog_sync_.OnFetched(request.incarnation, changes->sequence);
   registry_.Merge(*changes, http1::Now());
-  callbacks_.on_merged();
+  callbacks_.on_merged(request);
 }
 
 void Gossip::OnRequest(http1::RequestId id, const http1::Request& request) {
--- a/src/peering/tests/codec_test.cc
+++ b/src/peering/tests/codec_test.cc
@@ -12,6 +12,7 @@
   fleet::Heartbeat heartbeat;
   heartbeat.sender = {.host = "edge-pohjois-pohjanmaa-a-12", .zone = "oul-a"};
   heartbeat.sequence = 1ULL << 40;
+  heartbeat.newest = {.operator_records = 1ULL << 40, .targets = 1ULL << 41};
   for (std::uint64_t i = 0; i < kMaxLoads + 10; ++i) heartbeat.loads.push_back({i << 40, 9});
   heartbeat.contacts.resize(kMaxContacts + 10);
   return heartbeat;
@@ -48,6 +49,7 @@
   configuration->version = 12;
   changes.configuration = configuration;
   changes.evacuated_zones = {"a1"};
+  changes.newest = {.operator_records = 5, .targets = 8};
   const auto copy = DecodeChanges(EncodeChanges(changes, At(3000)), At(70'000));
   REQUIRE(copy);
   REQUIRE(copy->targets.at(0).target.cold_until == At(72'000));
@@ -55,6 +57,7 @@
   REQUIRE(copy->removals.at(0).id == "t2");
   REQUIRE(*copy->configuration == *configuration);
   REQUIRE(copy->evacuated_zones == changes.evacuated_zones);
+  REQUIRE(copy->newest == changes.newest);
   REQUIRE_FALSE(DecodeChanges("nothing", At(0)));
 }
 
--- a/src/peering/tests/gossip_test.cc
+++ b/src/peering/tests/gossip_test.cc
@@ -58,7 +58,7 @@
                       heartbeat.has_fresh_catalog = is_fresh;
                     },
                 .on_interval = [] {},
-                .on_merged = [this] { UpdateCatalog(); },
+                .on_merged = [this](const fleet::CatalogRequest&) { UpdateCatalog(); },
                 .has_fresh_catalog = [this] { return is_fresh; }}) {}
 
   void UpdateCatalog() {
@@ -120,4 +120,25 @@
   REQUIRE(fixture.RunUntil([&] { return fixture.follower.ConfigurationVersion() == 2; }));
 }
 
+TEST_CASE("A host whose source has a silent store watch learns from another that a target leaves") {
+  Fixture fixture;
+  fixture.second.registry.PutTarget(MakeTarget("t1", true), 20);
+  REQUIRE(fixture.RunUntil([&] { return fixture.follower.KnowsDrainingTarget(); }));
+}
+
+TEST_CASE("A host whose own store watch is silent gets the configuration from another host") {
+  Fixture fixture;
+  fixture.second.registry.PutConfiguration(MakeConfiguration(2), 20);
+  REQUIRE(fixture.RunUntil([&] { return fixture.first.ConfigurationVersion() == 2; }));
+}
+
+TEST_CASE("A region whose watchers are all silent gets the configuration from another region") {
+  Fixture fixture("b1");
+  fixture.second.registry.PutConfiguration(MakeConfiguration(2), 20);
+  REQUIRE(fixture.RunUntil([&] {
+    return fixture.first.ConfigurationVersion() == 2 &&
+           fixture.follower.ConfigurationVersion() == 2;
+  }));
+}
+
 }  // namespace mangonotch::peering
