Ask another host for the catalog when the source does not answer

A host whose heartbeats arrive but whose connections fail was asked again and again, since it stayed the first fresh host by name; its followers stood still although other hosts could answer.

Change: CatalogSync prefers other hosts for 3 s after a failed request. The only source is asked again at once.

--- a/src/fleet/catalog_sync.h
+++ b/src/fleet/catalog_sync.h
@@ -35,6 +35,8 @@
                                      bool is_fresh, base::Instant now);
   /// Reports that the changes of a host up to `sequence` have been applied.
   void OnFetched(base::Incarnation source, std::uint64_t sequence);
+  /// Reports that a host did not answer a request; others are asked first for a while.
+  void OnFailed(base::Incarnation source, base::Instant now);
 
  private:
   /// A change of which another host knows and this one does not.
@@ -47,6 +49,8 @@
   /// Updates `missing_change_` and returns whether it is overdue.
   bool IsChangeOverdue(const Heartbeat* ahead, const catalog::StorePosition& applied, bool is_fresh,
                        base::Instant now);
+  /// The host to avoid; 0 if there is none.
+  base::Incarnation Avoided(base::Instant now) const { return now < avoid_until_ ? failed_ : 0; }
   const Heartbeat* FindSource(const Members& members, base::Instant now) const;
   CatalogRequest RequestTo(const Heartbeat& source, bool is_behind) const;
   std::uint64_t FetchedSequence(base::Incarnation source) const;
@@ -56,6 +60,9 @@
   /// Sequence number of the last changes fetched from each source. At most kMaxFetchedSources.
   std::map<base::Incarnation, std::uint64_t> fetched_;
   std::optional<MissingChange> missing_change_;
+  /// The last host that did not answer, and until when the others are asked first.
+  base::Incarnation failed_ = 0;
+  base::Instant avoid_until_;
 };
 
 }  // namespace mangonotch::fleet
--- a/src/fleet/internal/catalog_sync.cc
+++ b/src/fleet/internal/catalog_sync.cc
@@ -13,13 +13,14 @@
 constexpr Duration kWatchTime = Duration::Milliseconds(500);
 /// Sources whose sequence numbers are kept. A source beyond them sends its whole catalog once more.
 constexpr std::size_t kMaxFetchedSources = 8;
+constexpr Duration kAvoidTime = Duration::Seconds(3);
 
 }  // namespace
 
 std::optional<CatalogRequest> CatalogSync::Next(const Members& members,
                                                 const catalog::StorePosition& applied,
                                                 bool is_fresh, base::Instant now) {
-  const Heartbeat* const ahead = members.FindAhead(applied, now);
+  const Heartbeat* const ahead = members.FindAhead(applied, Avoided(now), now);
   if (IsChangeOverdue(ahead, applied, is_fresh, now)) {
     source_ = ahead->incarnation;
     return RequestTo(*ahead, true);
@@ -46,9 +47,10 @@
 }
 
 const Heartbeat* CatalogSync::FindSource(const Members& members, base::Instant now) const {
+  const base::Incarnation avoided = Avoided(now);
   const Heartbeat* const current = members.FindLive(source_, now);
-  if (current != nullptr && current->has_fresh_catalog) return current;
-  return members.FindCatalogSource(now);
+  if (current != nullptr && current->has_fresh_catalog && source_ != avoided) return current;
+  return members.FindCatalogSource(avoided, now);
 }
 
 CatalogRequest CatalogSync::RequestTo(const Heartbeat& source, bool is_behind) const {
@@ -68,4 +70,9 @@
   fetched_[source] = sequence;
 }
 
+void CatalogSync::OnFailed(base::Incarnation source, base::Instant now) {
+  failed_ = source;
+  avoid_until_ = now + kAvoidTime;
+}
+
 }  // namespace mangonotch::fleet
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -135,27 +135,34 @@
 }
 
 template <typename Condition>
-const Heartbeat* Members::FindNearest(base::Instant now, Condition condition) const {
+const Heartbeat* Members::FindNearest(base::Incarnation avoided, base::Instant now,
+                                      Condition condition) const {
   const Member* best = nullptr;
+  // Lower ranks are preferred: any other host before the avoided one, hosts of this region before
+  // those of others.
+  std::pair<bool, bool> best_rank;
   for (const auto& [host, member] : members_) {
     if (!IsLive(member, now) || !condition(member.last_heartbeat)) continue;
-    if (best == nullptr || (IsLocal(member) && !IsLocal(*best))) best = &member;
+    const std::pair rank{member.last_heartbeat.incarnation == avoided, !IsLocal(member)};
+    if (best != nullptr && rank >= best_rank) continue;
+    best = &member;
+    best_rank = rank;
   }
   return best == nullptr ? nullptr : &best->last_heartbeat;
 }
 
-const Heartbeat* Members::FindCatalogSource(base::Instant now) const {
-  return FindNearest(now, [](const Heartbeat& it) { return it.has_fresh_catalog; });
+const Heartbeat* Members::FindCatalogSource(base::Incarnation avoided, base::Instant now) const {
+  return FindNearest(avoided, now, [](const Heartbeat& it) { return it.has_fresh_catalog; });
 }
 
 const Heartbeat* Members::FindAhead(const catalog::StorePosition& applied,
-                                    base::Instant now) const {
-  return FindNearest(now,
+                                    base::Incarnation avoided, base::Instant now) const {
+  return FindNearest(avoided, now,
                      [&](const Heartbeat& it) { return catalog::IsBehind(applied, it.newest); });
 }
 
 const Heartbeat* Members::FindLive(base::Incarnation incarnation, base::Instant now) const {
-  return FindNearest(now, [&](const Heartbeat& it) { return it.incarnation == incarnation; });
+  return FindNearest(0, now, [&](const Heartbeat& it) { return it.incarnation == incarnation; });
 }
 
 std::string_view Members::RegionOf(std::string_view zone) const {
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -63,11 +63,12 @@
   /// a slow link would delay all hosts there.
   bool ShouldWatchStore(base::Instant now) const;
   /// The last heartbeat of a live host with a fresh catalog, preferably of this region; null if
-  /// there is none.
-  const Heartbeat* FindCatalogSource(base::Instant now) const;
+  /// there is none. `avoided` is returned only if there is no other.
+  const Heartbeat* FindCatalogSource(base::Incarnation avoided, base::Instant now) const;
   /// The last heartbeat of a live host that knows a change after `applied`, preferably of this
-  /// region; null if there is none.
-  const Heartbeat* FindAhead(const catalog::StorePosition& applied, base::Instant now) const;
+  /// region; null if there is none. `avoided` is returned only if there is no other.
+  const Heartbeat* FindAhead(const catalog::StorePosition& applied, base::Incarnation avoided,
+                             base::Instant now) const;
   /// The last heartbeat of a live host; null if that incarnation is not known or not live.
   const Heartbeat* FindLive(base::Incarnation incarnation, base::Instant now) const;
   bool IsInOwnRegion(const HostRecord& record) const {
@@ -91,9 +92,10 @@
   bool IsLive(const Member& member, base::Instant now) const;
   bool IsLocal(const Member& member) const { return IsInOwnRegion(member.last_heartbeat.sender); }
   /// The last heartbeat of a live host for which `condition` holds, preferably of this region; null
-  /// if there is none.
+  /// if there is none. `avoided` is returned only if there is no other.
   template <typename Condition>
-  const Heartbeat* FindNearest(base::Instant now, Condition condition) const;
+  const Heartbeat* FindNearest(base::Incarnation avoided, base::Instant now,
+                               Condition condition) const;
   std::string_view RegionOf(std::string_view zone) const;
 
   HostRecord self_;
--- a/src/fleet/tests/catalog_sync_test.cc
+++ b/src/fleet/tests/catalog_sync_test.cc
@@ -99,6 +99,22 @@
   REQUIRE(request->incarnation == 2);
 }
 
+TEST_CASE("A source that does not answer is left for another one that does") {
+  Fixture fixture;
+  fixture.Hear(1, "a1", true, {10, 10}, 5, 0);
+  fixture.Hear(2, "a1", true, {10, 10}, 5, 0);
+  REQUIRE(fixture.Next({}, false, 0)->incarnation == 1);
+  fixture.sync.OnFailed(1, At(800));
+  REQUIRE(fixture.Next({}, false, 800)->incarnation == 2);
+}
+
+TEST_CASE("The only source is asked again although it did not answer") {
+  Fixture fixture;
+  fixture.Hear(1, "a1", true, {10, 10}, 5, 0);
+  fixture.sync.OnFailed(1, At(800));
+  REQUIRE(fixture.Next({}, false, 800)->incarnation == 1);
+}
+
 TEST_CASE("Of the hosts that are ahead, one of the own region is preferred") {
   Fixture fixture;
   fixture.Hear(1, "b1", true, {20, 10}, 5, 0);
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -59,7 +59,8 @@
   void FetchIfBehind();
   void Fetch(const fleet::CatalogRequest& catalog_request);
   void LogSource(const fleet::CatalogRequest& request);
-  void OnFetched(const fleet::CatalogRequest& request, const http1::ExchangeResult& result);
+  void OnFetched(const http1::ExchangeResult& result);
+  void OnFetchFailed(std::string_view cause);
   void CloseFetch();
   void SendTo(std::span<const base::Endpoint> receivers, bool with_loads,
               const fleet::Members::ContactLists& contacts);
@@ -78,6 +79,8 @@
   std::uint64_t sequence_ = 0;
   base::Random random_;
   std::shared_ptr<http1::ClientConnection> fetch_;
+  /// The request that `fetch_` carries.
+  fleet::CatalogRequest fetch_source_;
   base::Instant fetch_deadline_;
   fleet::CatalogSync catalog_sync_;
   /// Incarnation of the source that was last logged.
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -134,10 +134,7 @@
 
 void Gossip::FetchIfBehind() {
   const base::Instant now = http1::Now();
-  if (fetch_ && now >= fetch_deadline_) {
-    CloseFetch();
-    logging::Log(logging::Level::kWarning, "catalog_fetch_failed", {{"cause", "timed out"}});
-  }
+  if (fetch_ && now >= fetch_deadline_) OnFetchFailed("timed out");
   if (fetch_) return;
   const auto request =
       catalog_sync_.Next(members_, registry_.applied(), callbacks_.has_fresh_catalog(), now);
@@ -146,6 +143,7 @@
 
 void Gossip::Fetch(const fleet::CatalogRequest& catalog_request) {
   LogSource(catalog_request);
+  fetch_source_ = catalog_request;
   fetch_deadline_ = http1::Now() + kFetchTimeout;
   fetch_ = std::make_shared<http1::ClientConnection>(
       context_, http1::ClientLimits{.connect_time = kFetchTimeout});
@@ -156,9 +154,7 @@
   fetch_->Exchange(
       catalog_request.source.peers, http1::Serialize(request), false,
       [](const http1::Response&) { return true; },
-      [this, catalog_request](const http1::ExchangeResult& result) {
-        OnFetched(catalog_request, result);
-      });
+      [this](const http1::ExchangeResult& result) { OnFetched(result); });
 }
 
 void Gossip::LogSource(const fleet::CatalogRequest& request) {
@@ -177,20 +173,27 @@
   fetch_.reset();
 }
 
-void Gossip::OnFetched(const fleet::CatalogRequest& request, const http1::ExchangeResult& result) {
+void Gossip::OnFetchFailed(std::string_view cause) {
   CloseFetch();
-  const bool has_answer = result.error == http1::ExchangeError::kNone;
-  const auto changes =
-      has_answer ? DecodeChanges(result.response.body, http1::Now()) : std::nullopt;
+  catalog_sync_.OnFailed(fetch_source_.incarnation, http1::Now());
+  logging::Log(logging::Level::kWarning, "catalog_fetch_failed",
+               {{"host", fetch_source_.source.host}, {"cause", cause}});
+}
+
+void Gossip::OnFetched(const http1::ExchangeResult& result) {
+  if (result.error != http1::ExchangeError::kNone) {
+    OnFetchFailed(result.detail);
+    return;
+  }
+  const auto changes = DecodeChanges(result.response.body, http1::Now());
   if (!changes) {
-    logging::Log(logging::Level::kWarning, "catalog_fetch_failed",
-                 {{"host", request.source.host},
-                  {"cause", has_answer ? std::string_view("malformed answer") : result.detail}});
+    OnFetchFailed("malformed answer");
     return;
   }
-  catalog_sync_.OnFetched(request.incarnation, changes->sequence);
+  CloseFetch();
+  catalog_sync_.OnFetched(fetch_source_.incarnation, changes->sequence);
   registry_.Merge(*changes, http1::Now());
-  callbacks_.on_merged(request);
+  callbacks_.on_merged(fetch_source_);
 }
 
 void Gossip::OnRequest(http1::RequestId id, const http1::Request& request) {
--- a/src/peering/tests/gossip_test.cc
+++ b/src/peering/tests/gossip_test.cc
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "http1/clock.h"
 #include "http1/tests/loopback.h"
+#include "peering/codec.h"
 
 namespace mangonotch::peering {
 namespace {
@@ -141,4 +142,36 @@
   }));
 }
 
+TEST_CASE("A host whose source does not answer fetches from another one") {
+  boost::asio::io_context context;
+  TestHost healthy(context, "host-2", "a1", true);
+  healthy.registry.PutConfiguration(MakeConfiguration(1), 10);
+  TestHost follower(context, "host-3", "a1", false);
+  follower.gossip.Start();
+  // Sends heartbeats, but does not listen for connections.
+  fleet::Heartbeat unreachable{.sender = {.host = "host-1",
+                                          .zone = "a1",
+                                          .callers = {},
+                                          .peers = http1::LoopbackAt(FreePort())},
+                               .incarnation = 1,
+                               .has_fresh_catalog = true,
+                               .catalog_sequence = 9,
+                               .newest = {.operator_records = 10}};
+  boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+  const boost::asio::ip::udp::endpoint receiver(boost::asio::ip::address_v4::loopback(),
+                                                follower.members.self().peers.port);
+  const auto send_heartbeat = [&] {
+    ++unreachable.sequence;
+    socket.send_to(boost::asio::buffer(EncodeHeartbeat(unreachable)), receiver);
+  };
+  send_heartbeat();
+  http1::RunBriefly(context);
+  healthy.members.AddContact(follower.members.self().peers, http1::Now());
+  healthy.gossip.Start();
+  REQUIRE(http1::RunContext(context, [&] {
+    send_heartbeat();
+    return follower.ConfigurationVersion() == 1;
+  }));
+}
+
 }  // namespace mangonotch::peering
