Ignore evacuation records that are older than what a host has applied

A watcher that was cut off takes the operators' records from another host and then reads the same changes from its own watch. An evacuation that had ended came back for a moment and marked all targets of its zone as cold, which bounds their requests to the cold rate.

Change: PutEvacuation ignores a record below the applied revision, as PutTarget and PutConfiguration do.

Evidence: "An evacuation that is read again after its end does not return, nor make targets cold" failed before and passes.

--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -85,6 +85,8 @@
 
 void Registry::PutEvacuation(std::string_view zone, bool is_evacuated, StoreRevision revision,
                              base::Instant now) {
+  // Not `<=`: records that were written together have the same revision.
+  if (revision < operator_revision_) return;
   AdvanceOperatorRecords(revision);
   AdvanceNewest({.operator_records = revision});
   SetEvacuated(zone, is_evacuated, now);
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -57,8 +57,9 @@
   /// can register again.
   explicit Registry(base::Duration recovery_time) : recovery_time_(recovery_time) {}
 
-  // Call these in the order of the revisions. A target change that is not newer than the known one
-  // and a configuration without a higher version are ignored.
+  // Call these in the order of the revisions. A target change that is not newer than the known one,
+  // a configuration without a higher version and an evacuation older than the applied operator
+  // records are ignored.
 
   void PutTarget(const catalog::Target& target, StoreRevision revision);
   /// An entry that is removed within the recovery time after a store outage without having been
--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -81,6 +81,23 @@
   REQUIRE(follower.newest() == source.newest());
 }
 
+TEST_CASE("An evacuation that is read again after its end does not return, nor make targets cold") {
+  Registry registry(kRecovery);
+  registry.PutTarget(MakeTarget("t1"), 1);
+  registry.ReplaceOperatorRecords(MakeConfiguration(1), {}, 100, At(0));
+  registry.TakeUpdatedCatalog();
+  registry.PutEvacuation("a1", true, 50, At(10));
+  registry.PutEvacuation("a1", false, 80, At(10));
+  REQUIRE(registry.TakeUpdatedCatalog() == nullptr);
+}
+
+TEST_CASE("Operator records that were written together are all applied") {
+  Registry registry(kRecovery);
+  registry.PutEvacuation("a1", true, 50, At(0));
+  registry.PutEvacuation("a2", true, 50, At(0));
+  REQUIRE(registry.TakeUpdatedCatalog()->evacuated_zones.size() == 2);
+}
+
 TEST_CASE("A configuration never reverts to an older version") {
   Registry registry(kRecovery);
   registry.PutConfiguration(MakeConfiguration(7), 100);
