--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -42,6 +42,9 @@
   base::Duration connect_time = base::Duration::Milliseconds(500);
   /// The connection fails when sent bytes stay unacknowledged for this time (TCP_USER_TIMEOUT).
   base::Duration unacknowledged_time = base::Duration::Milliseconds(1500);
+  /// The kernel probes the connection each second while nothing arrives; the connection fails when
+  /// a probe stays unanswered. For requests whose answer may rightly take long.
+  bool probes_silence = false;
 };
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -16,7 +16,13 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
-using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+/// Time after the last arrival until the first probe, and time between probes, in seconds: the
+/// shortest that the kernel accepts.
+constexpr int kProbeInterval = 1;
+constexpr int kMaxUnansweredProbes = 1;
+template <int kName>
+using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
+using UserTimeout = TcpOption<TCP_USER_TIMEOUT>;
 
 /// The timeout parameter of the Keep-Alive header; nullopt when there is none.
 std::optional<base::Duration> ParseKeepAliveTimeout(const Response& response) {
@@ -79,6 +85,11 @@
   // Errors are ignored: without the option the connection works, but an unresponsive peer is
   // detected later.
   socket_.set_option(UserTimeout(static_cast<int>(limits_.unacknowledged_time.milliseconds())), ec);
+  if (!limits_.probes_silence) return;
+  socket_.set_option(boost::asio::socket_base::keep_alive(true), ec);
+  socket_.set_option(TcpOption<TCP_KEEPIDLE>(kProbeInterval), ec);
+  socket_.set_option(TcpOption<TCP_KEEPINTVL>(kProbeInterval), ec);
+  socket_.set_option(TcpOption<TCP_KEEPCNT>(kMaxUnansweredProbes), ec);
 }
 
 void ClientConnection::Write() {
--- a/src/http1/tests/client_connection_test.cc
+++ b/src/http1/tests/client_connection_test.cc
@@ -4,17 +4,38 @@
 #include "http1/client_connection.h"
 
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <string>
 
 #include "http1/tests/loopback.h"
 
 namespace mangonotch::http1 {
 namespace {
 
+constexpr ClientLimits kLimits{.connect_time = base::Duration::Milliseconds(300)};
+
+/// Whether the kernel has a keep-alive timer for the connection to the local port `server_port`.
+bool HasProbeTimer(std::uint16_t server_port) {
+  constexpr std::string_view kKeepAliveTimer = "02";
+  char address[16];
+  std::snprintf(address, sizeof(address), "0100007F:%04X", server_port);
+  std::ifstream connections("/proc/net/tcp");
+  std::string line;
+  while (std::getline(connections, line)) {
+    std::istringstream fields(line);
+    std::string slot, local, remote, state, queues, timer;
+    fields >> slot >> local >> remote >> state >> queues >> timer;
+    if (remote == address && timer.starts_with(kKeepAliveTimer)) return true;
+  }
+  return false;
+}
+
 struct Fixture {
-  Fixture()
+  explicit Fixture(const ClientLimits& limits = kLimits)
       : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}),
-        connection(std::make_shared<ClientConnection>(
-            context, ClientLimits{.connect_time = base::Duration::Milliseconds(300)})) {}
+        connection(std::make_shared<ClientConnection>(context, limits)) {}
   ~Fixture() { connection->Close(); }
 
   void Exchange() {
@@ -46,6 +67,16 @@
 
 }  // namespace
 
+TEST_CASE("A connection that waits for a late answer is probed, so that a silent one is detected") {
+  ClientLimits limits = kLimits;
+  limits.probes_silence = true;
+  Fixture fixture(limits);
+  fixture.Exchange();
+  fixture.Server();
+  const std::uint16_t port = fixture.acceptor.local_endpoint().port();
+  REQUIRE(RunContext(fixture.context, [&] { return HasProbeTimer(port); }));
+}
+
 TEST_CASE("A complete response is delivered and the connection stays reusable") {
   Fixture fixture;
   fixture.Exchange();
