Log the limits that targets name in their answers

Added: the adapter decodes the header into a typed report that is absent, named or malformed; each target's state keeps it; a line and a counter for each change, and for each value that cannot be used. No decision depends on it yet.

--- a/src/edge/decision_log.h
+++ b/src/edge/decision_log.h
@@ -1,6 +1,7 @@
 // Request log: writes one structured line per request with every steering decision, its inputs and
-// their age, and counts requests by outcome. Separate rate limits apply to requests served without
-// a failure and to all others; dropped lines are counted and reported.
+// their age, and counts requests by outcome. Reports what targets say of themselves. Separate rate
+// limits apply to requests served without a failure and to all others; dropped lines are counted
+// and reported.
 #pragma once
 
 #include <array>
@@ -56,6 +57,8 @@
   void OnLocalReply(const steering::Exchange& exchange, const steering::LocalReply& reply,
                     base::Instant now);
   void OnCallerGone(const steering::Exchange& exchange, base::Instant now);
+  void OnRateLimitChanged(const steering::TargetState& target, base::Instant now);
+  void OnMalformedRateLimit(const steering::TargetState& target, base::Instant now);
 
  private:
   struct RequestTrace {
@@ -79,8 +82,11 @@
   std::map<std::string, metrics::Counter, std::less<>> outcomes_;
   std::map<std::string, metrics::Counter, std::less<>> repeats_;
   metrics::Histogram latency_;
+  metrics::Counter rate_limit_changes_;
+  metrics::Counter malformed_rate_limits_;
   LogRateLimiter served_limiter_;
   LogRateLimiter failed_limiter_;
+  LogRateLimiter target_limiter_;
   /// When dropped lines may next be reported.
   base::Instant next_dropped_report_at_;
 };
--- a/src/edge/internal/decision_log.cc
+++ b/src/edge/internal/decision_log.cc
@@ -15,6 +15,8 @@
 /// Log lines per second: for requests served without a failure, and for all others.
 constexpr std::uint32_t kServedLinesPerS = 25;
 constexpr std::uint32_t kFailedLinesPerS = 40;
+/// Lines about targets' own statements.
+constexpr std::uint32_t kTargetLinesPerS = 20;
 constexpr base::Duration kDroppedReportInterval = base::Duration::Seconds(5);
 constexpr std::array<double, 12> kLatencyBounds = {0.01, 0.025, 0.05, 0.1, 0.2, 0.3,
                                                    0.5,  0.75,  1,    2,   5,   10};
@@ -59,8 +61,15 @@
       latency_(registry.AddHistogram("mangonotch_request_duration_seconds",
                                      "Time from the arrival of a request to its answer",
                                      kLatencyBounds)),
+      rate_limit_changes_(
+          registry.AddCounter("mangonotch_target_limit_changes_total",
+                              "Changes of the limits that targets name in their answers")),
+      malformed_rate_limits_(
+          registry.AddCounter("mangonotch_malformed_target_limits_total",
+                              "Answers of targets that name a limit that cannot be used")),
       served_limiter_(kServedLinesPerS),
-      failed_limiter_(kFailedLinesPerS) {}
+      failed_limiter_(kFailedLinesPerS),
+      target_limiter_(kTargetLinesPerS) {}
 
 void DecisionLog::SetRequestId(steering::ExchangeId id, std::string_view request_id) {
   traces_[id].request_id = request_id;
@@ -155,6 +164,22 @@
   Write(exchange, "caller_gone", true, now);
 }
 
+void DecisionLog::OnRateLimitChanged(const steering::TargetState& target, base::Instant now) {
+  rate_limit_changes_.Add();
+  if (!target_limiter_.Allow(now)) return;
+  const steering::TargetLimit& limit = target.limit();
+  logging::Log(logging::Level::kInfo, "target_limit",
+               {{"target", target.record().id},
+                {"service", target.record().service},
+                {"per_second", limit.is_active() ? std::to_string(limit.per_second()) : "none"}});
+}
+
+void DecisionLog::OnMalformedRateLimit(const steering::TargetState& target, base::Instant now) {
+  malformed_rate_limits_.Add();
+  if (!target_limiter_.Allow(now)) return;
+  logging::Log(logging::Level::kWarning, "target_limit_refused", {{"target", target.record().id}});
+}
+
 void DecisionLog::Write(const steering::Exchange& exchange, std::string_view outcome,
                         bool is_failure, base::Instant now) {
   CounterOf(outcome).Add();
@@ -164,9 +189,10 @@
     next_dropped_report_at_ = now + kDroppedReportInterval;
     const std::uint64_t served = served_limiter_.TakeDropped();
     const std::uint64_t failed = failed_limiter_.TakeDropped();
-    if (served + failed > 0) {
+    const std::uint64_t targets = target_limiter_.TakeDropped();
+    if (served + failed + targets > 0) {
       logging::Log(logging::Level::kInfo, "request_lines_left_out",
-                   {{"served", served}, {"failed", failed}});
+                   {{"served", served}, {"failed", failed}, {"targets", targets}});
     }
   }
   if (!limiter.Allow(now)) return;
--- a/src/steering/attempt.h
+++ b/src/steering/attempt.h
@@ -64,9 +64,27 @@
   kLost,
 };
 
+/// What an answer says of the rate at which its target accepts requests.
+struct RateLimitReport {
+  enum class Kind : std::uint8_t {
+    /// The answer names no limit.
+    kNone,
+    kNamed,
+    /// The answer names a limit that cannot be used.
+    kMalformed,
+  };
+
+  Kind kind = Kind::kNone;
+  /// Requests per second from all hosts together; only with kNamed.
+  double per_second = 0;
+
+  bool operator==(const RateLimitReport&) const = default;
+};
+
 struct AttemptOutcome {
   AttemptResult result = AttemptResult::kLost;
   std::optional<LoadReport> load{};
+  RateLimitReport rate_limit{};
 };
 
 enum class LocalReplyReason : std::uint8_t {
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -105,6 +105,7 @@
   void Send(Exchange& exchange, const Choice& choice, base::Instant now);
   /// Rank of this host among the hosts of its region by rendezvous hashing with the target's key.
   std::size_t RankAmongHosts(std::uint64_t target_key) const;
+  void ObserveRateLimit(const Attempt& attempt, const AttemptOutcome& outcome, base::Instant now);
   void RetryOrReply(Exchange& exchange, AttemptNumber failed, AttemptResult failure,
                     base::Instant now);
   bool TryRetry(Exchange& exchange, AttemptResult failure, base::Instant now);
@@ -147,3 +148,4 @@
 
 #include "steering/internal/engine.inl"          // IWYU pragma: export
 #include "steering/internal/engine_catalog.inl"  // IWYU pragma: export
+#include "steering/internal/engine_limits.inl"   // IWYU pragma: export
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -217,6 +217,7 @@
     attempt->target->MarkCold(now + exchange.service->cold_time());
   }
   observer_.OnOutcome(exchange, number, outcome, now);
+  ObserveRateLimit(*attempt, outcome, now);
   if (outcome.result == AttemptResult::kNotSent || outcome.result == AttemptResult::kMisdirected) {
     attempt->has_reached_target = false;
   }
--- a/src/steering/internal/target_state.cc
+++ b/src/steering/internal/target_state.cc
@@ -42,6 +42,7 @@
   is_listed_ = true;
   if (!is_other_incarnation) return;
   report_.reset();
+  limit_ = TargetLimit();
   failure_ratio_ = 0;
   consecutive_failures_ = 0;
   ejected_until_ = base::Instant();
--- a/src/steering/observer.h
+++ b/src/steering/observer.h
@@ -23,7 +23,8 @@
 concept DecisionObserver = requires(O& observer, const Exchange& exchange, const Choice& choice,
                                     const AttemptOutcome& outcome, AttemptNumber number,
                                     RetryReason reason, RetryDenial denial, const LocalReply& reply,
-                                    base::Duration delay, base::Instant now) {
+                                    base::Duration delay, const TargetState& target,
+                                    base::Instant now) {
   observer.OnSent(exchange, choice, now);
   /// All candidate targets are full; `delay` is the expected time in the queue.
   observer.OnTargetsFull(exchange, choice, delay, now);
@@ -33,6 +34,9 @@
   observer.OnDelivered(exchange, number, now);
   observer.OnLocalReply(exchange, reply, now);
   observer.OnCallerGone(exchange, now);
+  /// The target has named another limit, or none any more.
+  observer.OnRateLimitChanged(target, now);
+  observer.OnMalformedRateLimit(target, now);
 };
 
 }  // namespace mangonotch::steering
--- a/src/steering/target_state.h
+++ b/src/steering/target_state.h
@@ -10,6 +10,7 @@
 #include "catalog/catalog.h"
 #include "steering/attempt.h"
 #include "steering/sliding_window_counter.h"
+#include "steering/target_limit.h"
 
 namespace mangonotch::steering {
 
@@ -22,8 +23,8 @@
   /// Hash of the identifier; the same on every host.
   std::uint64_t key() const { return key_; }
 
-  /// Replaces the record. A record of another incarnation resets the load report, the failures, the
-  /// ejection and the service time.
+  /// Replaces the record. A record of another incarnation resets the load report, the limit, the
+  /// failures, the ejection and the service time.
   void Update(const catalog::Target& record, std::string_view region);
   /// False if the target is missing from the current catalog.
   bool is_listed() const { return is_listed_; }
@@ -64,6 +65,8 @@
   double ReportedSlowness(base::Instant now) const;
   /// Age of the target's last load report; one day when there is none.
   base::Duration ReportAge(base::Instant now) const;
+  TargetLimit& limit() { return limit_; }
+  const TargetLimit& limit() const { return limit_; }
   /// Ejects the target because another incarnation answers at its address.
   void MarkMisdirected(base::Instant now);
 
@@ -77,6 +80,7 @@
   std::uint32_t own_in_flight_ = 0;
   std::uint32_t peer_in_flight_ = 0;
   SlidingWindowCounter recent_sends_;
+  TargetLimit limit_;
   std::optional<LoadReport> report_;
   base::Instant report_at_;
   double failure_ratio_ = 0;
--- a/src/steering/tests/engine_harness.h
+++ b/src/steering/tests/engine_harness.h
@@ -21,6 +21,8 @@
   void OnDelivered(const Exchange&, AttemptNumber, base::Instant) {}
   void OnLocalReply(const Exchange&, const LocalReply&, base::Instant) {}
   void OnCallerGone(const Exchange&, base::Instant) {}
+  void OnRateLimitChanged(const TargetState&, base::Instant) {}
+  void OnMalformedRateLimit(const TargetState&, base::Instant) {}
 };
 
 struct RecordingPort {
