Keep to the limits that targets name in their answers

Ruled out: that each host kept to the limit for itself, and that load reports slow the hosts down; the log shows that the rate stays what it was.

Change: each host keeps to its part of a target's limit. The limit ends with an answer without the header to a request that was sent after the limit was last named, and with a new incarnation. It is kept for 60 s for a target that leaves the catalog and returns.

A request that only the limits hold back waits if they leave room within a third of its latency objective; otherwise it is refused at once as not run, with the time until there is room as Retry-After. The expected queue time counts a limited target with its limit.

--- a/src/edge/decision_log.h
+++ b/src/edge/decision_log.h
@@ -47,6 +47,8 @@
               base::Instant now);
   void OnTargetsFull(const steering::Exchange& exchange, const steering::Choice& choice,
                      base::Duration delay, base::Instant now);
+  void OnTargetsLimited(const steering::Exchange& exchange, base::Duration delay,
+                        base::Instant now);
   void OnOutcome(const steering::Exchange& exchange, steering::AttemptNumber number,
                  const steering::AttemptOutcome& outcome, base::Instant now);
   void OnRetry(const steering::Exchange& exchange, steering::RetryReason reason, base::Instant now);
--- a/src/edge/internal/decision_log.cc
+++ b/src/edge/internal/decision_log.cc
@@ -117,6 +117,15 @@
           now);
 }
 
+void DecisionLog::OnTargetsLimited(const steering::Exchange& exchange, base::Duration delay,
+                                   base::Instant now) {
+  traces_[exchange.id].had_failure = true;
+  AddStep(exchange,
+          "limited(queue=" + std::to_string(exchange.service->waiting()) +
+              ",delay_ms=" + std::to_string(delay.milliseconds()) + ")",
+          now);
+}
+
 void DecisionLog::OnOutcome(const steering::Exchange& exchange, steering::AttemptNumber number,
                             const steering::AttemptOutcome& outcome, base::Instant now) {
   RequestTrace& trace = traces_[exchange.id];
--- a/src/steering/attempt.h
+++ b/src/steering/attempt.h
@@ -92,6 +92,8 @@
   kNoRoute,
   kNoTarget,
   kNoRoom,
+  /// The targets' own limits leave no room in time.
+  kTargetsLimited,
   kTargetsRefused,
   kNotSent,
   kTimedOutWaiting,
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -94,18 +94,41 @@
   }
 
  private:
+  /// Targets that may be sent a request now.
+  struct Candidates {
+    std::vector<TargetState*> targets;
+    /// When the first of the targets that are held back only by their limits may be sent a request;
+    /// Never() if there are none.
+    base::Instant next_within_limit = base::Instant::Never();
+  };
+
+  struct Selection {
+    /// The best candidate, which may be full; nullopt without candidates.
+    std::optional<Choice> choice;
+    base::Instant next_within_limit = base::Instant::Never();
+
+    bool IsSendable() const { return choice && !choice->is_full; }
+    /// False if no target may serve the request, now or within its limit later.
+    bool HasTarget() const { return choice || next_within_limit != base::Instant::Never(); }
+  };
+
   ServiceState& ServiceOf(const std::string& name);
   const std::string& PickService(const catalog::Route& route);
-  std::vector<TargetState*> CandidatesOf(const Exchange& exchange, base::Instant now,
-                                         bool with_ejected);
-  std::optional<Choice> ChooseTarget(const Exchange& exchange, base::Instant now);
+  Candidates CandidatesOf(const Exchange& exchange, base::Instant now, bool with_ejected);
+  Selection SelectTarget(const Exchange& exchange, base::Instant now);
   bool IsWithinColdRate(TargetState& target, base::Instant now);
   void Dispatch(Exchange& exchange, base::Instant now);
-  void EnqueueOrRefuse(Exchange& exchange, const Choice& choice, base::Instant now);
+  void EnqueueOrRefuse(Exchange& exchange, const Selection& selection, base::Instant now);
   void Send(Exchange& exchange, const Choice& choice, base::Instant now);
   /// Rank of this host among the hosts of its region by rendezvous hashing with the target's key.
   std::size_t RankAmongHosts(std::uint64_t target_key) const;
+  HostPosition PositionFor(const TargetState& target) const;
+  /// When this host may next send to the target; not later than `now` if it may at once.
+  base::Instant NextSendWithinLimit(const TargetState& target, base::Instant now) const;
   void ObserveRateLimit(const Attempt& attempt, const AttemptOutcome& outcome, base::Instant now);
+  /// Dispatches waiting requests of the service at `at`, or earlier if that is already scheduled.
+  void ScheduleDispatch(ServiceState& service, base::Instant at);
+  void DispatchWithinLimits(base::Instant now);
   void RetryOrReply(Exchange& exchange, AttemptNumber failed, AttemptResult failure,
                     base::Instant now);
   bool TryRetry(Exchange& exchange, AttemptResult failure, base::Instant now);
@@ -125,6 +148,8 @@
   base::Duration QueueDelay(const ServiceState& service) const;
 
   EngineSettings settings_;
+  /// The regions of `settings_.zones`.
+  std::set<std::string> regions_;
   Port& port_;
   Observer& observer_;
   Placement placement_;
@@ -134,11 +159,14 @@
   catalog::RouteTable routes_;
   /// By name. Entries are never erased, since exchanges refer to them.
   std::map<std::string, ServiceState, std::less<>> services_;
-  /// Listed targets, by identifier.
+  /// Listed targets, and targets that have left but named a limit recently, by identifier.
   std::unordered_map<std::string, std::shared_ptr<TargetState>> targets_;
   std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   /// Next timer of each exchange.
   std::set<std::pair<base::Instant, ExchangeId>> timers_;
+  /// Services with waiting requests, by the time at which a target may be sent one within its
+  /// limit.
+  std::set<std::pair<base::Instant, ServiceState*>> dispatch_timers_;
   /// Current weights of the smooth weighted round robin over the services of a route, by route
   /// name.
   std::map<std::string, std::vector<double>, std::less<>> wrr_weights_;
@@ -146,6 +174,7 @@
 
 }  // namespace mangonotch::steering
 
-#include "steering/internal/engine.inl"          // IWYU pragma: export
-#include "steering/internal/engine_catalog.inl"  // IWYU pragma: export
-#include "steering/internal/engine_limits.inl"   // IWYU pragma: export
+#include "steering/internal/engine.inl"             // IWYU pragma: export
+#include "steering/internal/engine_candidates.inl"  // IWYU pragma: export
+#include "steering/internal/engine_catalog.inl"     // IWYU pragma: export
+#include "steering/internal/engine_limits.inl"      // IWYU pragma: export
--- a/src/steering/internal/attempt.cc
+++ b/src/steering/internal/attempt.cc
@@ -13,6 +13,8 @@
       return "no_target";
     case LocalReplyReason::kNoRoom:
       return "no_room";
+    case LocalReplyReason::kTargetsLimited:
+      return "targets_limited";
     case LocalReplyReason::kTargetsRefused:
       return "targets_refused";
     case LocalReplyReason::kNotSent:
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -52,6 +52,7 @@
       observer_(observer),
       placement_(settings_.placement) {
   static_assert(EnginePort<Port>);
+  for (const auto& [zone, region] : settings_.zones) regions_.insert(region);
 }
 
 template <typename Port, DecisionObserver Observer>
@@ -80,101 +81,51 @@
   Dispatch(exchange, now);
 }
 
-template <typename Port, DecisionObserver Observer>
-std::vector<TargetState*> Engine<Port, Observer>::CandidatesOf(const Exchange& exchange,
-                                                               base::Instant now,
-                                                               bool with_ejected) {
-  const std::vector<std::string>& regions = exchange.route->allowed_regions;
-  std::vector<TargetState*> candidates;
-  for (const auto& it : exchange.service->targets()) {
-    if (it->record().is_draining) continue;
-    if (catalog_->evacuated_zones.contains(it->record().zone)) continue;
-    const bool is_allowed =
-        regions.empty() || std::find(regions.begin(), regions.end(), it->region()) != regions.end();
-    if (!is_allowed) continue;
-    if (!with_ejected && it->IsEjected(now)) continue;
-    if (!IsWithinColdRate(*it, now)) continue;
-    const bool was_tried =
-        std::any_of(exchange.attempts.begin(), exchange.attempts.end(),
-                    [&](const Attempt& attempt) { return attempt.target == it; });
-    if (!was_tried) candidates.push_back(it.get());
-  }
-  return candidates;
-}
-
-template <typename Port, DecisionObserver Observer>
-bool Engine<Port, Observer>::IsWithinColdRate(TargetState& target, base::Instant now) {
-  if (!target.IsCold(now)) return true;
-  const double rate =
-      settings_.cold_rate_factor * services_.find(target.record().service)->second.cold_rate();
-  if (rate == 0) return true;
-  // The rate is divided among the hosts of the target's region; hosts of other regions send
-  // nothing.
-  if (target.region() != settings_.region) return false;
-  const double part = rate / static_cast<double>(local_host_keys_.size() + 1);
-  if (part >= 1) return target.RecentSends(now) + 1 <= part;
-  return target.RecentSends(now) == 0 && RankAmongHosts(target.key()) + 1 <= rate;
-}
-
-template <typename Port, DecisionObserver Observer>
-std::size_t Engine<Port, Observer>::RankAmongHosts(std::uint64_t target_key) const {
-  const std::uint64_t own = base::Mix(settings_.host_key ^ target_key);
-  return static_cast<std::size_t>(
-      std::count_if(local_host_keys_.begin(), local_host_keys_.end(),
-                    [&](std::uint64_t it) { return base::Mix(it ^ target_key) < own; }));
-}
-
-template <typename Port, DecisionObserver Observer>
-std::optional<Choice> Engine<Port, Observer>::ChooseTarget(const Exchange& exchange,
-                                                           base::Instant now) {
-  const PlacementQuery query{
-      .affinity_key = exchange.affinity_key,
-      .local_region = settings_.region,
-      .service_time = exchange.service->ServiceTime(exchange.route->latency_objective / 2),
-      .now = now};
-  auto choice = placement_.Choose(CandidatesOf(exchange, now, false), query);
-  // If no other target is left, try the ejected ones: they may have recovered.
-  if (!choice) choice = placement_.Choose(CandidatesOf(exchange, now, true), query);
-  return choice;
-}
-
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::Dispatch(Exchange& exchange, base::Instant now) {
-  const std::optional<Choice> choice = ChooseTarget(exchange, now);
-  if (!choice) {
+  const Selection selection = SelectTarget(exchange, now);
+  if (selection.IsSendable()) {
+    Send(exchange, *selection.choice, now);
+  } else if (selection.HasTarget()) {
+    EnqueueOrRefuse(exchange, selection, now);
+  } else {
     SendLocalReply(exchange, LocalReplyKind::kNotRun, LocalReplyReason::kNoTarget,
                    exchange.route->latency_objective, now);
-    return;
-  }
-  if (choice->is_full) {
-    EnqueueOrRefuse(exchange, *choice, now);
-    return;
   }
-  Send(exchange, *choice, now);
 }
 
 template <typename Port, DecisionObserver Observer>
 base::Duration Engine<Port, Observer>::QueueDelay(const ServiceState& service) const {
-  const std::uint32_t slots = std::max(service.TotalSlots(), 1U);
+  const double capacity = service.CapacityPerSecond();
+  if (capacity == 0) return {};
   // Assumes that every other host has as many requests waiting.
-  const auto ahead = static_cast<std::int64_t>(service.waiting() * host_count_);
-  return service.ServiceTime(base::Duration()) * ahead / slots;
+  const double ahead = static_cast<double>(service.waiting()) * host_count_;
+  return base::Duration::Nanoseconds(static_cast<std::int64_t>(ahead / capacity * 1e9));
 }
 
 template <typename Port, DecisionObserver Observer>
-void Engine<Port, Observer>::EnqueueOrRefuse(Exchange& exchange, const Choice& choice,
+void Engine<Port, Observer>::EnqueueOrRefuse(Exchange& exchange, const Selection& selection,
                                              base::Instant now) {
-  const base::Duration delay = QueueDelay(*exchange.service);
-  observer_.OnTargetsFull(exchange, choice, delay, now);
-  const bool is_in_time = now + delay + choice.estimate < exchange.deadline;
+  base::Duration delay = QueueDelay(*exchange.service);
+  base::Duration estimate = exchange.service->ServiceTime(exchange.route->latency_objective / 2);
+  LocalReplyReason reason = LocalReplyReason::kNoRoom;
+  if (selection.choice) {
+    estimate = selection.choice->estimate;
+    observer_.OnTargetsFull(exchange, *selection.choice, delay, now);
+  } else {
+    delay = std::max(delay, selection.next_within_limit - now);
+    reason = LocalReplyReason::kTargetsLimited;
+    observer_.OnTargetsLimited(exchange, delay, now);
+  }
+  const bool is_in_time = now + delay + estimate < exchange.deadline;
   const bool is_wait_acceptable = delay < exchange.route->latency_objective / kWaitDivisor;
   if (!is_in_time || !is_wait_acceptable) {
-    SendLocalReply(exchange, LocalReplyKind::kNotRun, LocalReplyReason::kNoRoom,
-                   std::max(delay, kMinRetryAfter), now);
+    SendLocalReply(exchange, LocalReplyKind::kNotRun, reason, std::max(delay, kMinRetryAfter), now);
     return;
   }
   exchange.is_waiting = true;
   exchange.service->Enqueue(exchange);
+  ScheduleDispatch(*exchange.service, selection.next_within_limit);
   const base::Instant wait_limit = now + exchange.route->latency_objective / kWaitDivisor;
   SetTimer(exchange, std::min(wait_limit, exchange.deadline));
 }
@@ -190,6 +141,7 @@
                                .rank = choice.rank,
                                .had_free_slot = target.Load(now) < target.slots()});
   target.OnSent(now);
+  if (target.limit().is_active()) target.limit().OnSent(PositionFor(target), now);
   base::Instant timer = exchange.deadline + kAnswerSlack;
   if (exchange.route->is_idempotent && exchange.CountOpenAttempts() == 1) {
     timer = std::min(timer, now + std::max(choice.estimate * kHedgeFactor, kMinHedgeDelay));
@@ -278,8 +230,9 @@
   if (exchange.CountAttemptsAtTargets() >= exchange.route->max_attempts) {
     return deny(RetryDenial::kAttemptsSpent);
   }
-  const std::optional<Choice> choice = ChooseTarget(exchange, now);
-  if (!choice) return deny(RetryDenial::kNoTarget);
+  const Selection selection = SelectTarget(exchange, now);
+  const std::optional<Choice>& choice = selection.choice;
+  if (!choice) return deny(selection.HasTarget() ? RetryDenial::kNoRoom : RetryDenial::kNoTarget);
   // A hedged attempt needs a free slot: it must not queue behind the first attempts of other
   // requests.
   const bool has_room = reason == RetryReason::kHedge
@@ -358,11 +311,15 @@
 
 template <typename Port, DecisionObserver Observer>
 base::Instant Engine<Port, Observer>::NextDeadline() const {
-  return timers_.empty() ? base::Instant::Never() : timers_.begin()->first;
+  const auto first_of = [](const auto& timers) {
+    return timers.empty() ? base::Instant::Never() : timers.begin()->first;
+  };
+  return std::min(first_of(timers_), first_of(dispatch_timers_));
 }
 
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::OnTimer(base::Instant now) {
+  DispatchWithinLimits(now);
   while (!timers_.empty() && timers_.begin()->first <= now) {
     Exchange& exchange = *exchanges_.at(timers_.begin()->second);
     const bool is_expired = exchange.is_waiting || now >= exchange.deadline;
@@ -393,13 +350,16 @@
 void Engine<Port, Observer>::DispatchWaiting(ServiceState& service, base::Instant now) {
   for (const ExchangeId id : service.WaitingInOrder()) {
     Exchange& exchange = *exchanges_.at(id);
-    const std::optional<Choice> choice = ChooseTarget(exchange, now);
+    const Selection selection = SelectTarget(exchange, now);
     // Stop at the first request that cannot be sent: a later one must not take the slot that it
     // waits for.
-    if (!choice || choice->is_full) return;
+    if (!selection.IsSendable()) {
+      ScheduleDispatch(service, selection.next_within_limit);
+      return;
+    }
     service.Dequeue(exchange);
     exchange.is_waiting = false;
-    Send(exchange, *choice, now);
+    Send(exchange, *selection.choice, now);
   }
 }
 
--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -7,6 +7,10 @@
 
 namespace mangonotch::steering {
 
+/// The state of a target that has left the catalog is kept for this time after it last named a
+/// limit: the target may return, and the limit then still holds.
+inline constexpr base::Duration kLimitRetention = base::Duration::Seconds(60);
+
 template <typename Port, DecisionObserver Observer>
 ServiceState& Engine<Port, Observer>::ServiceOf(const std::string& name) {
   return services_.try_emplace(name, name, settings_.retry_limits).first->second;
@@ -44,7 +48,11 @@
     }
     ServiceOf(it.service).targets().push_back(entry->second);
   }
-  std::erase_if(targets_, [](const auto& it) { return !it.second->is_listed(); });
+  std::erase_if(targets_, [&](const auto& it) {
+    const TargetLimit& limit = it.second->limit();
+    const bool is_limited = limit.is_active() && now < limit.last_named_at() + kLimitRetention;
+    return !it.second->is_listed() && !is_limited;
+  });
   for (auto& [name, service] : services_) DispatchWaiting(service, now);
 }
 
--- a/src/steering/internal/engine_limits.inl
+++ b/src/steering/internal/engine_limits.inl
@@ -1,10 +1,36 @@
 // Engine: limits that targets name in their answers.
 #pragma once
 
+#include "base/hash.h"
 #include "steering/engine.h"
 
 namespace mangonotch::steering {
 
+template <typename Port, DecisionObserver Observer>
+HostPosition Engine<Port, Observer>::PositionFor(const TargetState& target) const {
+  HostPosition position{.is_local = target.region() == settings_.region,
+                        .hosts = static_cast<std::uint32_t>(local_host_keys_.size() + 1),
+                        .rank = static_cast<std::uint32_t>(RankAmongHosts(target.key())),
+                        .all_hosts = host_count_};
+  const auto rank_of = [&](std::string_view region) {
+    return base::Mix(base::Hash(region) ^ target.key());
+  };
+  const std::uint64_t own = rank_of(settings_.region);
+  for (const std::string& it : regions_) {
+    if (it == target.region()) continue;
+    ++position.other_regions;
+    if (it != settings_.region && rank_of(it) < own) ++position.region_rank;
+  }
+  return position;
+}
+
+template <typename Port, DecisionObserver Observer>
+base::Instant Engine<Port, Observer>::NextSendWithinLimit(const TargetState& target,
+                                                          base::Instant now) const {
+  if (!target.limit().is_active()) return now;
+  return target.limit().NextSendAt(PositionFor(target), now);
+}
+
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::ObserveRateLimit(const Attempt& attempt, const AttemptOutcome& outcome,
                                               base::Instant now) {
@@ -17,10 +43,30 @@
       outcome.result == AttemptResult::kAnswered || outcome.result == AttemptResult::kFailed;
   const bool is_refusal_with_limit =
       outcome.result == AttemptResult::kNotRun && report.kind == RateLimitReport::Kind::kNamed;
-  if (!is_served && !is_refusal_with_limit) return;
-  if (target.limit().OnAnswer(report, attempt.sent_at, now)) {
+  const bool is_relevant =
+      target.limit().is_active() || report.kind != RateLimitReport::Kind::kNone;
+  if (!is_relevant || (!is_served && !is_refusal_with_limit)) return;
+  if (target.limit().OnAnswer(report, PositionFor(target), attempt.sent_at, now)) {
     observer_.OnRateLimitChanged(target, now);
   }
 }
 
+template <typename Port, DecisionObserver Observer>
+void Engine<Port, Observer>::ScheduleDispatch(ServiceState& service, base::Instant at) {
+  if (at >= service.dispatch_at()) return;
+  dispatch_timers_.erase({service.dispatch_at(), &service});
+  service.set_dispatch_at(at);
+  dispatch_timers_.emplace(at, &service);
+}
+
+template <typename Port, DecisionObserver Observer>
+void Engine<Port, Observer>::DispatchWithinLimits(base::Instant now) {
+  while (!dispatch_timers_.empty() && dispatch_timers_.begin()->first <= now) {
+    ServiceState& service = *dispatch_timers_.begin()->second;
+    dispatch_timers_.erase(dispatch_timers_.begin());
+    service.set_dispatch_at(base::Instant::Never());
+    DispatchWaiting(service, now);
+  }
+}
+
 }  // namespace mangonotch::steering
--- a/src/steering/internal/service_state.cc
+++ b/src/steering/internal/service_state.cc
@@ -50,12 +50,16 @@
   return "budget";
 }
 
-std::uint32_t ServiceState::TotalSlots() const {
-  std::uint32_t n = 0;
+double ServiceState::CapacityPerSecond() const {
+  if (service_time_ms_ == 0) return 0;
+  double sum = 0;
   for (const auto& it : targets_) {
-    if (!it->record().is_draining) n += it->slots();
+    if (it->record().is_draining) continue;
+    const double by_slots = it->slots() * 1e3 / service_time_ms_;
+    const TargetLimit& limit = it->limit();
+    sum += limit.is_active() ? std::min(by_slots, limit.per_second()) : by_slots;
   }
-  return n;
+  return sum;
 }
 
 base::Duration ServiceState::ServiceTime(base::Duration expected) const {
--- a/src/steering/observer.h
+++ b/src/steering/observer.h
@@ -28,6 +28,8 @@
   observer.OnSent(exchange, choice, now);
   /// All candidate targets are full; `delay` is the expected time in the queue.
   observer.OnTargetsFull(exchange, choice, delay, now);
+  /// The limits that the targets have named leave no room before `delay` has passed.
+  observer.OnTargetsLimited(exchange, delay, now);
   observer.OnOutcome(exchange, number, outcome, now);
   observer.OnRetry(exchange, reason, now);
   observer.OnRetryDenied(exchange, reason, denial, now);
--- a/src/steering/service_state.h
+++ b/src/steering/service_state.h
@@ -27,8 +27,9 @@
   /// Listed targets, including draining ones.
   std::vector<std::shared_ptr<TargetState>>& targets() { return targets_; }
   const std::vector<std::shared_ptr<TargetState>>& targets() const { return targets_; }
-  /// Slots of the targets that are not draining.
-  std::uint32_t TotalSlots() const;
+  /// Requests that the targets that are not draining serve per second, each within its limit, from
+  /// all hosts together; 0 before the first answer.
+  double CapacityPerSecond() const;
 
   /// Maximum requests per second for a cold target, from all hosts together; 0 for no limit.
   double cold_rate() const { return cold_rate_; }
@@ -44,6 +45,10 @@
   /// Records the service time of an answered request that found a free slot.
   void ObserveServiceTime(base::Duration elapsed);
 
+  /// When the waiting requests are next dispatched although no request ends; Never() if not.
+  base::Instant dispatch_at() const { return dispatch_at_; }
+  void set_dispatch_at(base::Instant at) { dispatch_at_ = at; }
+
   // Queue of waiting requests, ordered by priority, then by deadline.
 
   void Enqueue(const Exchange& exchange);
@@ -66,6 +71,7 @@
   /// Moving average in milliseconds; 0 before the first answer.
   double service_time_ms_ = 0;
   std::set<QueueKey> queue_;
+  base::Instant dispatch_at_ = base::Instant::Never();
 };
 
 }  // namespace mangonotch::steering
--- a/src/steering/tests/engine_harness.h
+++ b/src/steering/tests/engine_harness.h
@@ -15,6 +15,7 @@
 struct NullObserver {
   void OnSent(const Exchange&, const Choice&, base::Instant) {}
   void OnTargetsFull(const Exchange&, const Choice&, base::Duration, base::Instant) {}
+  void OnTargetsLimited(const Exchange&, base::Duration, base::Instant) {}
   void OnOutcome(const Exchange&, AttemptNumber, const AttemptOutcome&, base::Instant) {}
   void OnRetry(const Exchange&, RetryReason, base::Instant) {}
   void OnRetryDenied(const Exchange&, RetryReason, RetryDenial, base::Instant) {}
--- a/src/steering/tests/target_limit_test.cc
+++ b/src/steering/tests/target_limit_test.cc
@@ -170,4 +170,127 @@
   }
 }
 
+TEST_CASE("The room that the limits leave is used") {
+  for (const int hosts_per_region : {1, 3}) {
+    LimitSimulation simulation(hosts_per_region, {8, 8, 8, 8, 8, 8});
+    simulation.Run(120, kNamedUntilMs);
+    const double seconds = (kNamedUntilMs - kNamedFromMs - kStableMs) / 1000.0;
+    INFO(hosts_per_region << " hosts a region");
+    for (const LimitedTarget& it : simulation.targets()) {
+      REQUIRE(it.served_while_limited >= 0.75 * it.limit * seconds);
+    }
+  }
+}
+
+TEST_CASE("Callers of a region whose targets cannot serve them get part of other regions' limits") {
+  LimitSimulation simulation(3, {-1, 20, 20, 0, 20, 20});
+  simulation.SetCallerRegions(1);
+  simulation.Run(20, kNamedUntilMs);
+  RequireLimitsKept(simulation);
+  REQUIRE(simulation.answered() >= simulation.requests() * 9 / 10);
+}
+
+TEST_CASE("A target is used fully again after it has ceased to name a limit") {
+  LimitSimulation simulation(3, {4, 4, 4});
+  simulation.Run(60, kNamedUntilMs + 3000);
+  const int answered = simulation.answered();
+  const int requests = simulation.requests();
+  simulation.Run(60, kNamedUntilMs + 13'000);
+  REQUIRE(simulation.answered() - answered >= (simulation.requests() - requests) * 98 / 100);
+}
+
+namespace {
+
+RateLimitReport Named(double per_second) {
+  return {.kind = RateLimitReport::Kind::kNamed, .per_second = per_second};
+}
+
+void Answer(EngineHarness& host, ExchangeId id, const RateLimitReport& report, std::int64_t ms) {
+  host.engine.OnOutcome(id, 1, {.result = AttemptResult::kAnswered, .rate_limit = report}, At(ms));
+}
+
+}  // namespace
+
+TEST_CASE("A request that no limit leaves room for in time is refused at once") {
+  EngineHarness host({MakeTarget("t1")});
+  Answer(host, host.Request("/look/1", 0), Named(1), 10);
+  host.Request("/look/2", 20);
+  REQUIRE(host.port.sent.size() == 2);
+  host.Request("/look/3", 30);
+  REQUIRE(host.port.sent.size() == 2);
+  const LocalReply& reply = host.port.local_replies.at(0).reply;
+  REQUIRE(reply.reason == LocalReplyReason::kTargetsLimited);
+  REQUIRE(reply.kind == LocalReplyKind::kNotRun);
+  REQUIRE(reply.retry_after > base::Duration::Milliseconds(900));
+}
+
+TEST_CASE("A request waits for a limit that leaves room soon") {
+  EngineHarness host({MakeTarget("t1")});
+  Answer(host, host.Request("/look/1", 0), Named(20), 10);
+  std::size_t sent = 0;
+  while (sent < host.port.sent.size()) {
+    sent = host.port.sent.size();
+    host.Request("/look/2", 20);
+  }
+  REQUIRE(sent < 20);
+  REQUIRE(host.port.local_replies.empty());
+  const base::Instant next = host.engine.NextDeadline();
+  REQUIRE(next > At(20));
+  REQUIRE(next <= At(80));
+  host.engine.OnTimer(next);
+  REQUIRE(host.port.sent.size() == sent + 1);
+}
+
+TEST_CASE("An answer to a request sent before the limit was named does not end the limit") {
+  EngineHarness host({MakeTarget("t1", "status", "a1", 8)});
+  const ExchangeId early = host.Request("/look/1", 0);
+  const ExchangeId other = host.Request("/look/2", 1);
+  Answer(host, other, Named(1), 10);
+  Answer(host, early, {}, 20);
+  host.Request("/look/3", 30);
+  host.Request("/look/4", 40);
+  REQUIRE(host.port.local_replies.size() == 1);
+}
+
+TEST_CASE("A malformed limit neither starts nor ends a limit") {
+  const RateLimitReport malformed{.kind = RateLimitReport::Kind::kMalformed};
+  EngineHarness host({MakeTarget("t1", "status", "a1", 8)});
+  Answer(host, host.Request("/look/1", 0), malformed, 10);
+  for (int i = 0; i < 5; ++i) host.Request("/look/2", 20);
+  REQUIRE(host.port.sent.size() == 6);
+  Answer(host, host.port.sent.back().id, Named(1), 30);
+  Answer(host, host.Request("/look/3", 40), malformed, 50);
+  host.Request("/look/4", 60);
+  REQUIRE(host.port.local_replies.size() == 1);
+}
+
+TEST_CASE(
+    "A limit holds for a target that leaves the catalog and returns, not for a restarted one") {
+  EngineHarness host({MakeTarget("t1")});
+  Answer(host, host.Request("/look/1", 0), Named(1), 10);
+  host.Request("/look/2", 20);
+  host.Apply({}, 30);
+  host.Apply({MakeTarget("t1")}, 40);
+  host.Request("/look/3", 50);
+  REQUIRE(host.port.sent.size() == 2);
+  catalog::Target restarted = MakeTarget("t1");
+  restarted.started_at_ms = 1;
+  host.Apply({restarted}, 60);
+  host.Request("/look/4", 70);
+  REQUIRE(host.port.sent.size() == 3);
+}
+
+TEST_CASE("A target that accepts no requests is probed, so that the end of its limit is noticed") {
+  EngineHarness host({MakeTarget("t1")});
+  Answer(host, host.Request("/look/1", 0), Named(0), 10);
+  std::size_t in_8_s = 0;
+  for (std::int64_t ms = 20; ms < 8020; ms += 20) {
+    host.Request("/look/2", ms);
+    host.engine.OnTimer(At(ms));
+  }
+  in_8_s = host.port.sent.size() - 1;
+  REQUIRE(in_8_s >= 1);
+  REQUIRE(in_8_s <= 3);
+}
+
 }  // namespace mangonotch::steering
