Close a target's connection after an answer that does not say what it answers

Report from other operators: a faulty worker wrote an earlier refusal once more on a kept connection. Clients were told "not run" for requests that a worker was running, or such a request ran at a second worker.

It happened here too. A target's refusal carries no attempt id and was taken as the answer to whatever request was open on its connection; the connection was kept after a refusal, so that a copy could follow.

Change: a connection is not used again after an answer without an id. Answers with an id are told apart as before.

Evidence: "A refusal that a target writes again on a kept connection answers no later request" failed before, with a 503 while the target had the request, and passes.

--- a/src/edge/internal/request_proxy.inl
+++ b/src/edge/internal/request_proxy.inl
@@ -109,6 +109,7 @@
   switch (result.error) {
     case http1::ExchangeError::kNone:
       outcome = codec_.ClassifyResponse(result.response);
+      if (!codec_.IsIdentified(result.response)) attempt->connection->Close();
       break;
     case http1::ExchangeError::kNotSent:
       outcome.result = steering::AttemptResult::kNotSent;
--- a/src/edge/traffic_codec.h
+++ b/src/edge/traffic_codec.h
@@ -25,6 +25,9 @@
   { codec.Encode(request, command, now) } -> std::same_as<std::string>;
   /// Whether `response` answers `request`; false for a response to another request.
   { codec.IsResponseTo(request, response) } -> std::same_as<bool>;
+  /// Whether `response` says which request it answers. Its connection is closed if not: the target
+  /// may send such a response again, and it would pass for the answer to the next request.
+  { codec.IsIdentified(response) } -> std::same_as<bool>;
   /// Classifies a target's response.
   { codec.ClassifyResponse(response) } -> std::same_as<steering::AttemptOutcome>;
   /// Converts a target's response to the response sent to the caller.
