Cut off targets that send without end, and bound what their answers take together

Heads and bodies were cut off at 64 KB and 16 MB. Three ways were open. Interim responses, or whole answers to other requests, were discarded without a bound until the request's deadline. An unfinished chunk extension was kept in the read buffer without a bound. And each of many connections could take 16 MB at the same time, of the 260 MB of a host.

Change: an exchange fails after 16 discarded responses, and when the parser leaves more than 64 KB unread. Connections to targets share 32 MB for the bodies that they receive; the first 256 KB of a body are not counted, so that ordinary answers pass while large ones are cut off.

Evidence: "Bytes without end are cut off, whatever part of a response they are in" failed before for interim responses, and for a chunk extension with only the first bound; it covers eleven places. "Bodies without end from several servers stay within their budget, small ones pass" is new with the budget.

--- a/src/edge/internal/target_connection_pool.cc
+++ b/src/edge/internal/target_connection_pool.cc
@@ -38,7 +38,7 @@
     connection->Close();
   }
   ++counts_.opened;
-  return std::make_shared<http1::ClientConnection>(context_, kTargetLimits);
+  return std::make_shared<http1::ClientConnection>(context_, kTargetLimits, body_budget_);
 }
 
 void TargetConnectionPool::Release(const std::string& target_id, ConnectionPtr connection) {
--- a/src/edge/target_connection_pool.h
+++ b/src/edge/target_connection_pool.h
@@ -23,7 +23,9 @@
  public:
   using ConnectionPtr = std::shared_ptr<http1::ClientConnection>;
 
-  explicit TargetConnectionPool(boost::asio::io_context& context) : context_(context) {}
+  explicit TargetConnectionPool(boost::asio::io_context& context)
+      : context_(context),
+        body_budget_(std::make_shared<http1::ByteBudget>(kMaxPendingBodyBytes)) {}
 
   /// Returns the most recently used idle connection that the target is not about to close, or a
   /// new, unconnected one.
@@ -43,7 +45,12 @@
   const PoolCounts& counts() const { return counts_; }
 
  private:
+  /// For bodies that are being received, beyond the first part of each: targets that send without
+  /// end must not use up the memory of the process.
+  static constexpr std::size_t kMaxPendingBodyBytes = std::size_t{32} * 1024 * 1024;
+
   boost::asio::io_context& context_;
+  std::shared_ptr<http1::ByteBudget> body_budget_;
   /// Keyed by target id; the most recently released connection is last.
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
   PoolCounts counts_;
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -17,6 +17,7 @@
 
 #include "base/endpoint.h"
 #include "base/instant.h"
+#include "http1/byte_budget.h"
 #include "http1/message.h"
 
 namespace mangonotch::http1 {
@@ -39,6 +40,9 @@
 struct ClientLimits {
   std::size_t header_bytes = std::size_t{64} * 1024;
   std::size_t body_bytes = std::size_t{16} * 1024 * 1024;
+  /// Bytes of a body beyond these are reserved in the budget, if there is one; without room there
+  /// the exchange fails. Small responses are always accepted.
+  std::size_t unreserved_body_bytes = std::size_t{256} * 1024;
   base::Duration connect_time = base::Duration::Milliseconds(500);
   /// The connection fails when sent bytes stay unacknowledged for this time (TCP_USER_TIMEOUT).
   base::Duration unacknowledged_time = base::Duration::Milliseconds(1500);
@@ -53,7 +57,12 @@
   /// Returns whether a response belongs to the request; other responses are discarded.
   using Filter = std::function<bool(const Response&)>;
 
-  ClientConnection(boost::asio::io_context& context, const ClientLimits& limits);
+  /// `body_budget` is shared by connections of the same context; null for none.
+  ClientConnection(boost::asio::io_context& context, const ClientLimits& limits,
+                   std::shared_ptr<ByteBudget> body_budget = nullptr);
+  ~ClientConnection() { ReleaseBody(); }
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
 
   /// Sends the serialized request `bytes` and reads the response; connects to `server` first when
   /// not yet connected. `is_head` is true for a HEAD request, whose response has no body. `done` is
@@ -87,6 +96,9 @@
   void OnIdleRead();
   void ParseBuffered();
   void ResetParser();
+  /// Reserves the part of the body that has been received; false if the budget has no room.
+  bool ReserveBody();
+  void ReleaseBody();
   void HandleResponse();
   /// Closes the connection and ends the exchange.
   void Finish(ExchangeError error, std::string_view detail, Response response);
@@ -95,6 +107,9 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer connect_timer_;
   ClientLimits limits_;
+  std::shared_ptr<ByteBudget> body_budget_;
+  /// Bytes reserved in `body_budget_` for the response in progress.
+  std::size_t reserved_body_bytes_ = 0;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::string write_buffer_;
@@ -107,6 +122,8 @@
   bool is_closed_ = false;
   bool is_reading_ = false;
   bool is_writing_ = false;
+  /// Responses discarded in the exchange in progress.
+  std::uint32_t discarded_responses_ = 0;
   base::Instant usable_until_ = base::Instant::Never();
   base::Instant idle_since_;
 };
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <charconv>
+#include <utility>
 
 #include "http1/asio_address.h"
 #include "http1/clock.h"
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+/// Interim responses and responses to other requests after which an exchange fails.
+constexpr std::uint32_t kMaxDiscardedResponses = 16;
 /// Time after the last arrival until the first probe, and time between probes, in seconds: the
 /// shortest that the kernel accepts.
 constexpr int kProbeInterval = 1;
@@ -39,13 +42,19 @@
 
 }  // namespace
 
-ClientConnection::ClientConnection(boost::asio::io_context& context, const ClientLimits& limits)
-    : context_(context), socket_(context), connect_timer_(context), limits_(limits) {}
+ClientConnection::ClientConnection(boost::asio::io_context& context, const ClientLimits& limits,
+                                   std::shared_ptr<ByteBudget> body_budget)
+    : context_(context),
+      socket_(context),
+      connect_timer_(context),
+      limits_(limits),
+      body_budget_(std::move(body_budget)) {}
 
 void ClientConnection::Exchange(const base::Endpoint& server, std::string bytes, bool is_head,
                                 Filter filter, Done done) {
   is_busy_ = true;
   is_head_ = is_head;
+  discarded_responses_ = 0;
   write_buffer_ = std::move(bytes);
   filter_ = std::move(filter);
   done_ = std::move(done);
@@ -108,6 +117,7 @@
 }
 
 void ClientConnection::ResetParser() {
+  ReleaseBody();
   parser_.emplace();
   parser_->eager(true);
   parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
@@ -165,13 +175,38 @@
       Finish(ExchangeError::kBroken, "malformed answer", {});
       return;
     }
+    if (!ReserveBody()) {
+      Finish(ExchangeError::kBroken, "answers too large together", {});
+      return;
+    }
     if (parser_->is_done()) {
       HandleResponse();
       continue;
     }
     if (ec == boost::beast::http::error::need_more || used == 0) break;
   }
-  if (!is_closed_) Read();
+  if (is_closed_) return;
+  // The parser leaves what it cannot use yet in the buffer, such as an unfinished chunk extension.
+  if (buffer_.size() > limits_.header_bytes) {
+    Finish(ExchangeError::kBroken, "malformed answer", {});
+    return;
+  }
+  Read();
+}
+
+bool ClientConnection::ReserveBody() {
+  if (!body_budget_) return true;
+  const std::size_t size = parser_->get().body().size();
+  const std::size_t needed =
+      size > limits_.unreserved_body_bytes ? size - limits_.unreserved_body_bytes : 0;
+  if (needed <= reserved_body_bytes_) return true;
+  if (!body_budget_->TryReserve(needed - reserved_body_bytes_)) return false;
+  reserved_body_bytes_ = needed;
+  return true;
+}
+
+void ClientConnection::ReleaseBody() {
+  if (body_budget_) body_budget_->Release(std::exchange(reserved_body_bytes_, 0));
 }
 
 void ClientConnection::HandleResponse() {
@@ -179,7 +214,8 @@
   Response response = ToResponse(parser_->release());
   const bool is_interim = response.status < 200;
   if (is_interim || !filter_(response)) {
-    if (is_delimited_by_close || !is_connected_) {
+    const bool is_last_allowed = ++discarded_responses_ >= kMaxDiscardedResponses;
+    if (is_delimited_by_close || !is_connected_ || is_last_allowed) {
       Finish(ExchangeError::kBroken, "an answer to another request", {});
       return;
     }
@@ -198,6 +234,7 @@
   const auto keep_alive = ParseKeepAliveTimeout(response);
   usable_until_ = keep_alive ? idle_since_ + *keep_alive : base::Instant::Never();
   is_busy_ = false;
+  ReleaseBody();
   const Done done = std::exchange(done_, nullptr);
   done({.error = ExchangeError::kNone, .detail = {}, .response = std::move(response)});
 }
@@ -217,6 +254,8 @@
   filter_ = nullptr;
   on_idle_end_ = nullptr;
   connect_timer_.cancel();
+  parser_.reset();
+  ReleaseBody();
   boost::system::error_code ec;
   socket_.close(ec);  // The connection is not used again, so errors are ignored.
 }
--- a/src/http1/tests/client_connection_test.cc
+++ b/src/http1/tests/client_connection_test.cc
@@ -3,6 +3,7 @@
 // complete.
 #include "http1/client_connection.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
@@ -33,9 +34,10 @@
 }
 
 struct Fixture {
-  explicit Fixture(const ClientLimits& limits = kLimits)
+  explicit Fixture(const ClientLimits& limits = kLimits,
+                   std::shared_ptr<ByteBudget> body_budget = nullptr)
       : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}),
-        connection(std::make_shared<ClientConnection>(context, limits)) {}
+        connection(std::make_shared<ClientConnection>(context, limits, std::move(body_budget))) {}
   ~Fixture() { connection->Close(); }
 
   void Exchange() {
@@ -152,6 +154,81 @@
   REQUIRE_FALSE(idle.connection->is_reusable());
 }
 
+// Guards against a target that makes a host run out of memory or keeps it busy until the deadline.
+TEST_CASE("Bytes without end are cut off, whatever part of a response they are in") {
+  const std::string line(1000, 'a');
+  const std::string mismatch = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n";
+  const std::pair<std::string, std::string> parts[] = {
+      {"", line},
+      {"HTTP/1.1 200 ", line},
+      {"HTTP/1.1 200 OK\r\n", "Name: " + line + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nName: ", line},
+      {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+      {"", mismatch},
+      {"HTTP/1.1 200 OK\r\n\r\n", line},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", line},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + line + "\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", line},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Name: " + line + "\r\n"}};
+  constexpr std::size_t kMaxBytes = std::size_t{1024} * 1024;
+  for (const auto& [start, repeated] : parts) {
+    INFO(start << "..." << repeated.substr(0, 40));
+    ClientLimits limits = kLimits;
+    limits.body_bytes = kMaxBytes / 2;
+    Fixture fixture(limits);
+    fixture.Exchange();
+    fixture.Server().Send(start.empty() ? repeated : start);
+    std::string block;
+    while (block.size() < 4096) block += repeated;
+    std::size_t sent = 0;
+    const bool has_ended = RunContext(fixture.context, [&] {
+      if (!fixture.result && sent < kMaxBytes) sent += fixture.server->SendSome(block);
+      return fixture.result.has_value();
+    });
+    REQUIRE(has_ended);
+    REQUIRE(fixture.result->error == ExchangeError::kBroken);
+    REQUIRE(fixture.server->IsClosed());
+  }
+}
+
+TEST_CASE("Bodies without end from several servers stay within their budget, small ones pass") {
+  constexpr std::size_t kConnections = 8;
+  constexpr std::size_t kBudget = std::size_t{256} * 1024;
+  const auto budget = std::make_shared<ByteBudget>(kBudget);
+  ClientLimits limits = kLimits;
+  limits.unreserved_body_bytes = std::size_t{16} * 1024;
+  std::vector<std::unique_ptr<Fixture>> fixtures;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    fixtures.push_back(std::make_unique<Fixture>(limits, budget));
+    fixtures.back()->Exchange();
+    fixtures.back()->Server().Send("HTTP/1.1 200 OK\r\n\r\n");
+  }
+  Fixture small(limits, budget);
+  small.Exchange();
+  LoopbackSocket& small_server = small.Server();
+  const std::string block(4096, 'a');
+  const auto all_ended = [&] {
+    return std::all_of(fixtures.begin(), fixtures.end(),
+                       [](const auto& it) { return it->result.has_value(); });
+  };
+  std::size_t most_used = 0;
+  for (int round = 0; round < 2000 && !all_ended(); ++round) {
+    for (const auto& it : fixtures) {
+      if (!it->result) it->server->SendSome(block);
+      it->context.restart();
+      it->context.poll();
+      most_used = std::max(most_used, budget->used());
+    }
+  }
+  REQUIRE(all_ended());
+  REQUIRE(most_used > 0);
+  REQUIRE(most_used <= kBudget);
+  REQUIRE(budget->used() == 0);
+  small_server.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  REQUIRE(small.RunUntilDone());
+  REQUIRE(small.result->error == ExchangeError::kNone);
+}
+
 TEST_CASE("Data that is not an HTTP response is an error") {
   Fixture fixture;
   fixture.Exchange();
--- a/src/http1/tests/loopback.h
+++ b/src/http1/tests/loopback.h
@@ -53,6 +53,11 @@
     const std::size_t n = socket_.write_some(boost::asio::buffer(bytes));
     if (n != bytes.size()) throw std::runtime_error("the socket's buffer is full");
   }
+  /// Sends as much of `bytes` as the socket takes; returns how much. 0 when the peer has closed.
+  std::size_t SendSome(const std::string& bytes) {
+    boost::system::error_code ec;
+    return socket_.write_some(boost::asio::buffer(bytes), ec);
+  }
   void Close() { socket_.close(); }
   /// Closes the connection with a TCP reset.
   void Reset() {
