--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -5,12 +5,13 @@
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
-#include <random>
 #include <utility>
 #include <vector>
 
 #include "app/internal/catalog_report.h"
 #include "app/internal/host_gauges.h"
+#include "app/internal/random_incarnation.h"
+#include "app/internal/store_watches.h"
 #include "app/internal/traffic_thread.h"
 #include "base/error.h"
 #include "base/hash.h"
@@ -25,8 +26,6 @@
 #include "peering/gossip.h"
 #include "platform/entry_api.h"
 #include "platform/host_registration.h"
-#include "platform/prefix_feed.h"
-#include "platform/records.h"
 #include "platform/store_client.h"
 #include "platform/store_sinks.h"
 #include "settings/edge_settings_watch.h"
@@ -40,12 +39,6 @@
 /// Targets whose entries expired in an outage of the store register again within two seconds of
 /// its return; the remaining 0.5 s covers the time that their requests take to reach the store.
 constexpr Duration kRecoveryTime = Duration::Milliseconds(2500);
-/// Entries change in bursts when many targets start or leave together; the interval lets one watch
-/// response cover a burst. The wait bounds the time until an unresponsive store is detected.
-constexpr platform::WatchPacing kTargetsPacing = {.wait = Duration::Milliseconds(3000),
-                                                  .interval = Duration::Milliseconds(250)};
-constexpr platform::WatchPacing kOperatorRecordsPacing = {.wait = Duration::Milliseconds(3500),
-                                                          .interval = Duration::Milliseconds(100)};
 /// Time that a starting host allows for the first messages from other hosts.
 constexpr Duration kPeerDiscoveryTime = Duration::Milliseconds(1500);
 constexpr Duration kLookupTtl = Duration::Seconds(2);
@@ -64,11 +57,6 @@
 /// targets, the store and files.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
 
-std::uint64_t RandomIncarnation() {
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds) {
   return {.ratio = bounds.retry_ratio,
           .allowance = bounds.retry_allowance,
@@ -139,9 +127,6 @@
   void ExchangeLoads();
   /// Starts or stops watching the store, depending on whether this host has to.
   void UpdateStoreWatches();
-  bool HasFreshCatalog() const {
-    return targets_feed_.is_fresh() && operator_records_feed_.is_fresh();
-  }
   void WaitForSignal();
   void CheckSettings();
   void ScheduleSettingsCheck();
@@ -161,10 +146,7 @@
   fleet::Members members_;
   TrafficThread traffic_;
   platform::StoreClient store_;
-  platform::TargetsSink targets_sink_;
-  platform::OperatorRecordsSink operator_records_sink_;
-  platform::PrefixFeed<platform::TargetsSink> targets_feed_;
-  platform::PrefixFeed<platform::OperatorRecordsSink> operator_records_feed_;
+  StoreWatches store_watches_;
   platform::HostRegistration host_registration_;
   peering::Gossip gossip_;
   Listener readiness_;
@@ -197,12 +179,7 @@
       traffic_(settings.listen.callers, EngineSettingsOf(settings),
                settings.descriptors / kCallerDescriptorsDivisor, metrics_),
       store_(context_, settings.store, metrics_),
-      targets_sink_(SinkContextOf()),
-      operator_records_sink_(SinkContextOf()),
-      targets_feed_(context_, store_, std::string(platform::kTargetsPrefix), kTargetsPacing,
-                    RandomIncarnation(), targets_sink_),
-      operator_records_feed_(context_, store_, std::string(platform::kOperatorPrefix),
-                             kOperatorRecordsPacing, RandomIncarnation(), operator_records_sink_),
+      store_watches_(context_, store_, SinkContextOf()),
       host_registration_(
           context_, store_, settings.host, settings.listen.peers,
           [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
@@ -232,8 +209,8 @@
   return {.fill_heartbeat =
               [this](fleet::Heartbeat& heartbeat) {
                 heartbeat.is_leaving = is_leaving_;
-                heartbeat.watches_store = targets_feed_.is_active();
-                heartbeat.has_fresh_catalog = HasFreshCatalog();
+                heartbeat.watches_store = store_watches_.is_active();
+                heartbeat.has_fresh_catalog = store_watches_.is_fresh();
                 heartbeat.loads = own_loads_;
               },
           .on_interval =
@@ -242,7 +219,7 @@
                 UpdateStoreWatches();
               },
           .on_merged = [this](const fleet::CatalogRequest& request) { OnMerged(request); },
-          .has_fresh_catalog = [this] { return HasFreshCatalog(); }};
+          .has_fresh_catalog = [this] { return store_watches_.is_fresh(); }};
 }
 
 void EdgeHost::Control::UpdateStoreWatches() {
@@ -250,11 +227,10 @@
   // A host that has just started may not have received messages from the others yet.
   const bool is_new = now < started_at_ + kPeerDiscoveryTime;
   const bool watches = (is_new && !has_configuration_) || members_.ShouldWatchStore(now);
-  if (watches != targets_feed_.is_active()) {
+  if (watches != store_watches_.is_active()) {
     logging::Log(Level::kInfo, "watches_store", {{"watches", watches}});
   }
-  targets_feed_.SetActive(watches);
-  operator_records_feed_.SetActive(watches);
+  store_watches_.SetActive(watches);
 }
 
 void EdgeHost::Control::PublishCatalog() {
@@ -268,10 +244,10 @@
   const catalog::CatalogPtr catalog = registry_.TakeUpdatedCatalog();
   if (!catalog) return;
   // Announces the change at once, so that other hosts do not wait for the next heartbeat.
-  if (HasFreshCatalog()) gossip_.AnnounceLocally();
+  if (store_watches_.is_fresh()) gossip_.AnnounceLocally();
   has_configuration_ = has_configuration_ || catalog->configuration;
   has_targets_ = has_targets_ || !catalog->targets.empty();
-  LogCatalog(*catalog, registry_, HasFreshCatalog() ? "store" : "host");
+  LogCatalog(*catalog, registry_, store_watches_.is_fresh() ? "store" : "host");
   gauges_.ReportCatalog(*catalog, registry_);
   traffic_.Post([catalog](TrafficThread::Proxy& proxy) { proxy.ApplyCatalog(catalog); });
 }
@@ -279,8 +255,7 @@
 void EdgeHost::Control::OnMerged(const fleet::CatalogRequest& request) {
   PublishCatalog();
   if (!request.is_behind) return;
-  targets_feed_.OnChangeMissed(registry_.newest().targets);
-  operator_records_feed_.OnChangeMissed(registry_.newest().operator_records);
+  store_watches_.OnChangeMissed(registry_.newest());
   // The watchers of this region may all be behind, and heartbeats from other regions are rare.
   if (!members_.IsInOwnRegion(request.source)) gossip_.AnnounceLocally();
 }
