--- a/src/steering/tests/target_limit_test.cc
+++ b/src/steering/tests/target_limit_test.cc
@@ -156,14 +156,15 @@
 }
 
 /// Twelve targets, of which eight name the limits that `capped` days show.
-const std::vector<double> kCappedTargets = {7.3, 11.8, 4.1, -1,  12.3, 9.1,
-                                            6.8, -1,   8.1, 3.9, -1,   -1};
+std::vector<double> CappedTargets() {
+  return {7.3, 11.8, 4.1, -1, 12.3, 9.1, 6.8, -1, 8.1, 3.9, -1, -1};
+}
 
 }  // namespace
 
 TEST_CASE("A target gets no more requests from all hosts together than the limit that it names") {
   for (const int hosts_per_region : {1, 3, 20}) {
-    LimitSimulation simulation(hosts_per_region, kCappedTargets);
+    LimitSimulation simulation(hosts_per_region, CappedTargets());
     simulation.Run(250, kNamedUntilMs);
     INFO(hosts_per_region << " hosts a region");
     RequireLimitsKept(simulation);
