--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -19,9 +19,9 @@
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 /// Interim responses and responses to other requests after which an exchange fails.
 constexpr std::uint32_t kMaxDiscardedResponses = 16;
-/// Time after the last arrival until the first probe, and time between probes, in seconds: the
-/// shortest that the kernel accepts.
-constexpr int kProbeInterval = 1;
+/// Time after the last arrival until the first probe, and time between probes: the shortest that
+/// the kernel accepts.
+constexpr int kProbeIntervalSeconds = 1;
 constexpr int kMaxUnansweredProbes = 1;
 template <int kName>
 using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
@@ -96,8 +96,8 @@
   socket_.set_option(UserTimeout(static_cast<int>(limits_.unacknowledged_time.milliseconds())), ec);
   if (!limits_.probes_silence) return;
   socket_.set_option(boost::asio::socket_base::keep_alive(true), ec);
-  socket_.set_option(TcpOption<TCP_KEEPIDLE>(kProbeInterval), ec);
-  socket_.set_option(TcpOption<TCP_KEEPINTVL>(kProbeInterval), ec);
+  socket_.set_option(TcpOption<TCP_KEEPIDLE>(kProbeIntervalSeconds), ec);
+  socket_.set_option(TcpOption<TCP_KEEPINTVL>(kProbeIntervalSeconds), ec);
   socket_.set_option(TcpOption<TCP_KEEPCNT>(kMaxUnansweredProbes), ec);
 }
 
