Keep with each member whether it is in this host's region

Decisions on the source of the catalog go through all members, and looked the region of each up by name several times. With the comparison of store revisions there are up to three passes for each decision.

--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -30,7 +30,8 @@
   const bool is_same_incarnation =
       !is_new && member.last_heartbeat.incarnation == heartbeat.incarnation;
   if (is_same_incarnation && heartbeat.sequence <= member.last_heartbeat.sequence) return false;
-  member = {.last_heartbeat = heartbeat, .received_at = now};
+  member = {
+      .last_heartbeat = heartbeat, .received_at = now, .is_local = IsInOwnRegion(heartbeat.sender)};
   AddContact(heartbeat.sender.peers, now);
   for (const base::Endpoint& contact : heartbeat.contacts) {
     const bool is_known = std::any_of(contacts_.begin(), contacts_.end(),
@@ -64,7 +65,7 @@
   std::map<std::pair<base::IpAddress, std::uint16_t>, bool> is_local_host;
   for (const auto& [host, member] : members_) {
     const base::Endpoint& peers = member.last_heartbeat.sender.peers;
-    is_local_host[{peers.address, peers.port}] = IsLocal(member);
+    is_local_host[{peers.address, peers.port}] = member.is_local;
   }
   ContactLists lists;
   for (const auto& [contact, refreshed_at] : contacts_) {
@@ -79,7 +80,7 @@
 }
 
 bool Members::IsLive(const Member& member, base::Instant now) const {
-  const base::Duration limit = IsLocal(member) ? timing_.local_timeout : timing_.remote_timeout;
+  const base::Duration limit = member.is_local ? timing_.local_timeout : timing_.remote_timeout;
   return now - member.received_at <= limit;
 }
 
@@ -101,7 +102,7 @@
   std::vector<std::uint64_t> keys;
   for (const auto& [host, member] : members_) {
     const bool may_be_alive = now - member.received_at <= timing_.retention;
-    if (may_be_alive && IsLocal(member)) keys.push_back(base::Hash(host));
+    if (may_be_alive && member.is_local) keys.push_back(base::Hash(host));
   }
   return keys;
 }
@@ -124,7 +125,7 @@
   std::uint32_t watching_count = 0;
   for (const auto& [host, member] : members_) {
     const bool is_before = RankOf(member.last_heartbeat.sender) < own_rank;
-    if (!is_before || !IsLocal(member) || !IsLive(member, now) ||
+    if (!is_before || !member.is_local || !IsLive(member, now) ||
         member.last_heartbeat.is_leaving) {
       continue;
     }
@@ -143,7 +144,7 @@
   std::pair<bool, bool> best_rank;
   for (const auto& [host, member] : members_) {
     if (!IsLive(member, now) || !condition(member.last_heartbeat)) continue;
-    const std::pair rank{member.last_heartbeat.incarnation == avoided, !IsLocal(member)};
+    const std::pair rank{member.last_heartbeat.incarnation == avoided, !member.is_local};
     if (best != nullptr && rank >= best_rank) continue;
     best = &member;
     best_rank = rank;
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -87,10 +87,11 @@
   struct Member {
     Heartbeat last_heartbeat;
     base::Instant received_at;
+    /// The host is in this host's region. Kept here, since decisions go through all members.
+    bool is_local = false;
   };
 
   bool IsLive(const Member& member, base::Instant now) const;
-  bool IsLocal(const Member& member) const { return IsInOwnRegion(member.last_heartbeat.sender); }
   /// The last heartbeat of a live host for which `condition` holds, preferably of this region; null
   /// if there is none. `avoided` is returned only if there is no other.
   template <typename Condition>
