Heed what targets say of themselves, and take no requests late in a stop

Cause: the adapter dropped Server-Leaving and the Retry-After of a target's 503 with the other headers, so that a host learned that a target leaves from the store alone, and asked a target that wanted a pause again with the next request. A host that drains still took requests on its open connections, such as ones whose body arrives late; at the end of its grace time they could be cut off at a target.

Change: steering::TargetSignals holds both signals as deadlines of the target. They win over the store; leaving ends with the incarnation, a back-off at its deadline. A request that finds all targets backing off is refused at once, with a Retry-After spread behind the earliest end. Malformed values are counted and not used. A draining host refuses new requests as not run.

With it, three findings from reading: a target that could not be reached lost its cold mark with the next catalog; requests behind one that had timed out waiting were not dispatched; a target that came back had lost its load.

A response cut at any byte of its head was tested too: it was already reported as broken, so that fault does not happen here.

--- a/src/edge/decision_log.h
+++ b/src/edge/decision_log.h
@@ -61,6 +61,8 @@
   void OnCallerGone(const steering::Exchange& exchange, base::Instant now);
   void OnRateLimitChanged(const steering::TargetState& target, base::Instant now);
   void OnMalformedRateLimit(const steering::TargetState& target, base::Instant now);
+  void OnSignalsChanged(const steering::TargetState& target, base::Instant now);
+  void OnMalformedSignal(const steering::TargetState& target, base::Instant now);
 
  private:
   struct RequestTrace {
@@ -86,6 +88,8 @@
   metrics::Histogram latency_;
   metrics::Counter rate_limit_changes_;
   metrics::Counter malformed_rate_limits_;
+  metrics::Counter signal_changes_;
+  metrics::Counter malformed_signals_;
   LogRateLimiter served_limiter_;
   LogRateLimiter failed_limiter_;
   LogRateLimiter target_limiter_;
--- a/src/edge/internal/decision_log.cc
+++ b/src/edge/internal/decision_log.cc
@@ -67,6 +67,12 @@
       malformed_rate_limits_(
           registry.AddCounter("mangonotch_malformed_target_limits_total",
                               "Answers of targets that name a limit that cannot be used")),
+      signal_changes_(registry.AddCounter(
+          "mangonotch_target_signals_total",
+          "Answers in which targets began to leave, or named a later end of their back-off")),
+      malformed_signals_(
+          registry.AddCounter("mangonotch_malformed_target_signals_total",
+                              "Answers of targets with a signal that cannot be used")),
       served_limiter_(kServedLinesPerS),
       failed_limiter_(kFailedLinesPerS),
       target_limiter_(kTargetLinesPerS) {}
@@ -189,6 +195,25 @@
   logging::Log(logging::Level::kWarning, "target_limit_refused", {{"target", target.record().id}});
 }
 
+void DecisionLog::OnSignalsChanged(const steering::TargetState& target, base::Instant now) {
+  signal_changes_.Add();
+  if (!target_limiter_.Allow(now)) return;
+  const steering::TargetSignals& signals = target.signals();
+  const base::Duration backoff =
+      signals.backoff_until() > now ? signals.backoff_until() - now : base::Duration();
+  logging::Log(logging::Level::kInfo, "target_signal",
+               {{"target", target.record().id},
+                {"service", target.record().service},
+                {"leaving", signals.is_leaving()},
+                {"backoff_ms", backoff.milliseconds()}});
+}
+
+void DecisionLog::OnMalformedSignal(const steering::TargetState& target, base::Instant now) {
+  malformed_signals_.Add();
+  if (!target_limiter_.Allow(now)) return;
+  logging::Log(logging::Level::kWarning, "target_signal_refused", {{"target", target.record().id}});
+}
+
 void DecisionLog::Write(const steering::Exchange& exchange, std::string_view outcome,
                         bool is_failure, base::Instant now) {
   CounterOf(outcome).Add();
--- a/src/edge/request_proxy.h
+++ b/src/edge/request_proxy.h
@@ -48,9 +48,12 @@
   void ApplyPeers(std::span<const steering::PeerLoad> loads, std::uint32_t hosts,
                   std::vector<std::uint64_t> local_hosts);
   std::vector<steering::PeerLoad> OwnLoads() const { return engine_.OwnLoads(); }
-  /// Stops accepting connections; every further response closes its connection. See
-  /// http1::Server::StartDraining.
-  void StartDraining() { server_.StartDraining(); }
+  /// Stops accepting connections and requests; every further response closes its connection. See
+  /// Engine::StopTaking and http1::Server::StartDraining.
+  void StartDraining() {
+    engine_.StopTaking();
+    server_.StartDraining();
+  }
   /// True when no request is pending and no caller connection is open.
   bool IsIdle() const { return pending_requests_.empty() && server_.connections() == 0; }
 
--- a/src/http1/tests/client_connection_test.cc
+++ b/src/http1/tests/client_connection_test.cc
@@ -109,6 +109,27 @@
   }
 }
 
+// Guards against a server that stops in the middle of its response's head, also between two lines
+// of it, and closes: the caller got a success with an empty or short body.
+TEST_CASE("A response that breaks off at any byte is never complete") {
+  for (const std::string whole :
+       {"HTTP/1.1 200 OK\r\nId: x\r\nX: y\r\nContent-Length: 3\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}) {
+    for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+      CAPTURE(whole, cut);
+      Fixture fixture;
+      fixture.Exchange();
+      // In two segments, so that the first is parsed before the second arrives.
+      fixture.Server().Send(whole.substr(0, cut / 2));
+      RunBriefly(fixture.context);
+      fixture.server->Send(whole.substr(cut / 2, cut - cut / 2));
+      fixture.server->Close();
+      REQUIRE(fixture.RunUntilDone());
+      REQUIRE(fixture.result->error == ExchangeError::kBroken);
+    }
+  }
+}
+
 TEST_CASE("A response without a length ends at the close of the connection, but not at a reset") {
   for (const bool is_reset : {false, true}) {
     Fixture fixture;
--- a/src/steering/attempt.h
+++ b/src/steering/attempt.h
@@ -64,27 +64,39 @@
   kLost,
 };
 
+/// Whether an answer reports something of its target.
+enum class ReportKind : std::uint8_t {
+  kNone,
+  kGiven,
+  /// The answer has a report that cannot be used.
+  kMalformed,
+};
+
 /// What an answer says of the rate at which its target accepts requests.
 struct RateLimitReport {
-  enum class Kind : std::uint8_t {
-    /// The answer names no limit.
-    kNone,
-    kNamed,
-    /// The answer names a limit that cannot be used.
-    kMalformed,
-  };
-
-  Kind kind = Kind::kNone;
-  /// Requests per second from all hosts together; only with kNamed.
+  ReportKind kind = ReportKind::kNone;
+  /// Requests per second from all hosts together; only with kGiven.
   double per_second = 0;
 
   bool operator==(const RateLimitReport&) const = default;
 };
 
+/// What a refusal says of how long its target wants no further requests from this host.
+struct BackoffReport {
+  ReportKind kind = ReportKind::kNone;
+  /// Time from the answer on; only with kGiven.
+  base::Duration time{};
+
+  bool operator==(const BackoffReport&) const = default;
+};
+
 struct AttemptOutcome {
   AttemptResult result = AttemptResult::kLost;
   std::optional<LoadReport> load{};
   RateLimitReport rate_limit{};
+  BackoffReport backoff{};
+  /// kGiven if the answer says that its target is leaving.
+  ReportKind leaving = ReportKind::kNone;
 };
 
 enum class LocalReplyReason : std::uint8_t {
@@ -94,11 +106,15 @@
   kNoRoom,
   /// The targets' own limits leave no room in time.
   kTargetsLimited,
+  /// The targets want no requests from this host for longer than the request may wait.
+  kTargetsBackingOff,
   kTargetsRefused,
   kNotSent,
   kTimedOutWaiting,
   kTimedOutRunning,
   kAnswerLost,
+  /// This host is stopping.
+  kStopping,
 };
 std::string_view NameOf(LocalReplyReason reason);
 
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -83,6 +83,10 @@
   /// the request is idempotent.
   void OnCallerGone(ExchangeId id, base::Instant now);
 
+  /// Refuses all further requests: this host ends soon, and a request that it took could be cut
+  /// off at a target. Requests taken before go on.
+  void StopTaking() { is_stopping_ = true; }
+
   /// Time at which OnTimer must be called next.
   base::Instant NextDeadline() const;
   void OnTimer(base::Instant now);
@@ -97,19 +101,23 @@
   /// Targets that may be sent a request now.
   struct Candidates {
     std::vector<TargetState*> targets;
-    /// When the first of the targets that are held back only by their limits may be sent a request;
-    /// Never() if there are none.
-    base::Instant next_within_limit = base::Instant::Never();
+    /// When the first of the targets that are held back only by what they have named, a limit or a
+    /// back-off, may be sent a request; Never() if there are none.
+    base::Instant next_send = base::Instant::Never();
+    /// That target is backing off.
+    bool is_backoff = false;
   };
 
   struct Selection {
     /// The best candidate, which may be full; nullopt without candidates.
     std::optional<Choice> choice;
-    base::Instant next_within_limit = base::Instant::Never();
+    /// As in Candidates.
+    base::Instant next_send = base::Instant::Never();
+    bool is_backoff = false;
 
     bool IsSendable() const { return choice && !choice->is_full; }
-    /// False if no target may serve the request, now or within its limit later.
-    bool HasTarget() const { return choice || next_within_limit != base::Instant::Never(); }
+    /// False if no target may serve the request, now or later.
+    bool HasTarget() const { return choice || next_send != base::Instant::Never(); }
   };
 
   ServiceState& ServiceOf(const std::string& name);
@@ -123,9 +131,15 @@
   /// Rank of this host among the hosts of its region by rendezvous hashing with the target's key.
   std::size_t RankAmongHosts(std::uint64_t target_key) const;
   HostPosition PositionFor(const TargetState& target) const;
-  /// When this host may next send to the target; not later than `now` if it may at once.
-  base::Instant NextSendWithinLimit(const TargetState& target, base::Instant now) const;
+  /// When this host may next send to the target, within its limit and after its back-off; not later
+  /// than `now` if it may at once.
+  base::Instant NextSendAt(const TargetState& target, base::Instant now) const;
   void ObserveRateLimit(const Attempt& attempt, const AttemptOutcome& outcome, base::Instant now);
+  void ObserveSignals(const Attempt& attempt, const AttemptOutcome& outcome, base::Instant now);
+  /// When the caller of a request that was refused because targets back off should come back:
+  /// after the back-off, spread so that callers do not return together, within its deadline.
+  base::Duration RetryAfterBackoff(const Exchange& exchange, base::Instant backoff_until,
+                                   base::Instant now) const;
   /// Dispatches waiting requests of the service at `at`, or earlier if that is already scheduled.
   void ScheduleDispatch(ServiceState& service, base::Instant at);
   void DispatchWithinLimits(base::Instant now);
@@ -153,13 +167,15 @@
   Port& port_;
   Observer& observer_;
   Placement placement_;
+  bool is_stopping_ = false;
   std::uint32_t host_count_ = 1;
   std::vector<std::uint64_t> local_host_keys_;
   catalog::CatalogPtr catalog_;
   catalog::RouteTable routes_;
   /// By name. Entries are never erased, since exchanges refer to them.
   std::map<std::string, ServiceState, std::less<>> services_;
-  /// Listed targets, and targets that have left but named a limit recently, by identifier.
+  /// Listed targets, and targets that have left but whose limit or signals still hold if they
+  /// return, by identifier.
   std::unordered_map<std::string, std::shared_ptr<TargetState>> targets_;
   std::unordered_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   /// Next timer of each exchange.
--- a/src/steering/internal/attempt.cc
+++ b/src/steering/internal/attempt.cc
@@ -23,10 +23,14 @@
       return "timed_out_waiting";
     case LocalReplyReason::kTimedOutRunning:
       return "timed_out_running";
+    case LocalReplyReason::kTargetsBackingOff:
+      return "targets_backing_off";
     case LocalReplyReason::kAnswerLost:
+      return "answer_lost";
+    case LocalReplyReason::kStopping:
       break;
   }
-  return "answer_lost";
+  return "stopping";
 }
 
 }  // namespace mangonotch::steering
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -62,6 +62,11 @@
   exchange.id = id;
   exchange.arrived_at = now;
   exchange.deadline = attributes.deadline;
+  if (is_stopping_) {
+    SendLocalReply(exchange, LocalReplyKind::kNotRun, LocalReplyReason::kStopping, kMinRetryAfter,
+                   now);
+    return;
+  }
   if (!configuration()) {
     SendLocalReply(exchange, LocalReplyKind::kNotRun, LocalReplyReason::kNoConfiguration,
                    kMinRetryAfter, now);
@@ -113,19 +118,23 @@
     estimate = selection.choice->estimate;
     observer_.OnTargetsFull(exchange, *selection.choice, delay, now);
   } else {
-    delay = std::max(delay, selection.next_within_limit - now);
-    reason = LocalReplyReason::kTargetsLimited;
+    delay = std::max(delay, selection.next_send - now);
+    reason = selection.is_backoff ? LocalReplyReason::kTargetsBackingOff
+                                  : LocalReplyReason::kTargetsLimited;
     observer_.OnTargetsLimited(exchange, delay, now);
   }
   const bool is_in_time = now + delay + estimate < exchange.deadline;
   const bool is_wait_acceptable = delay < exchange.route->latency_objective / kWaitDivisor;
   if (!is_in_time || !is_wait_acceptable) {
-    SendLocalReply(exchange, LocalReplyKind::kNotRun, reason, std::max(delay, kMinRetryAfter), now);
+    const base::Duration retry_after = reason == LocalReplyReason::kTargetsBackingOff
+                                           ? RetryAfterBackoff(exchange, selection.next_send, now)
+                                           : std::max(delay, kMinRetryAfter);
+    SendLocalReply(exchange, LocalReplyKind::kNotRun, reason, retry_after, now);
     return;
   }
   exchange.is_waiting = true;
   exchange.service->Enqueue(exchange);
-  ScheduleDispatch(*exchange.service, selection.next_within_limit);
+  ScheduleDispatch(*exchange.service, selection.next_send);
   const base::Instant wait_limit = now + exchange.route->latency_objective / kWaitDivisor;
   SetTimer(exchange, std::min(wait_limit, exchange.deadline));
 }
@@ -170,6 +179,7 @@
   }
   observer_.OnOutcome(exchange, number, outcome, now);
   ObserveRateLimit(*attempt, outcome, now);
+  ObserveSignals(*attempt, outcome, now);
   if (outcome.result == AttemptResult::kNotSent || outcome.result == AttemptResult::kMisdirected) {
     attempt->has_reached_target = false;
   }
@@ -337,6 +347,8 @@
   if (exchange.is_waiting && !exchange.may_have_run) {
     SendLocalReply(exchange, LocalReplyKind::kNotRun, LocalReplyReason::kTimedOutWaiting,
                    service.ServiceTime(kMinRetryAfter), now);
+    // The requests behind it may have other targets than the one that it waited for.
+    DispatchWaiting(service, now);
     return;
   }
   for (const Attempt& it : exchange.attempts) {
@@ -354,7 +366,7 @@
     // Stop at the first request that cannot be sent: a later one must not take the slot that it
     // waits for.
     if (!selection.IsSendable()) {
-      ScheduleDispatch(service, selection.next_within_limit);
+      ScheduleDispatch(service, selection.next_send);
       return;
     }
     service.Dequeue(exchange);
--- a/src/steering/internal/engine_candidates.inl
+++ b/src/steering/internal/engine_candidates.inl
@@ -14,7 +14,7 @@
   const std::vector<std::string>& regions = exchange.route->allowed_regions;
   Candidates candidates;
   for (const auto& it : exchange.service->targets()) {
-    if (it->record().is_draining) continue;
+    if (it->record().is_draining || it->signals().is_leaving()) continue;
     if (catalog_->evacuated_zones.contains(it->record().zone)) continue;
     const bool is_allowed =
         regions.empty() || std::find(regions.begin(), regions.end(), it->region()) != regions.end();
@@ -25,11 +25,12 @@
         std::any_of(exchange.attempts.begin(), exchange.attempts.end(),
                     [&](const Attempt& attempt) { return attempt.target == it; });
     if (was_tried) continue;
-    const base::Instant next = NextSendWithinLimit(*it, now);
+    const base::Instant next = NextSendAt(*it, now);
     if (next <= now) {
       candidates.targets.push_back(it.get());
-    } else {
-      candidates.next_within_limit = std::min(candidates.next_within_limit, next);
+    } else if (next < candidates.next_send) {
+      candidates.next_send = next;
+      candidates.is_backoff = it->signals().backoff_until() == next;
     }
   }
   return candidates;
@@ -72,7 +73,7 @@
     candidates = CandidatesOf(exchange, now, true);
     choice = placement_.Choose(candidates.targets, query);
   }
-  return {.choice = choice, .next_within_limit = candidates.next_within_limit};
+  return {.choice = choice, .next_send = candidates.next_send, .is_backoff = candidates.is_backoff};
 }
 
 }  // namespace mangonotch::steering
--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -51,7 +51,10 @@
   std::erase_if(targets_, [&](const auto& it) {
     const TargetLimit& limit = it.second->limit();
     const bool is_limited = limit.is_active() && now < limit.last_named_at() + kLimitRetention;
-    return !it.second->is_listed() && !is_limited;
+    const bool has_signals = now < it.second->signals().keep_until();
+    // Requests in flight are part of the target's load if it returns.
+    const bool is_busy = it.second->own_in_flight() > 0;
+    return !it.second->is_listed() && !is_limited && !has_signals && !is_busy;
   });
   for (auto& [name, service] : services_) DispatchWaiting(service, now);
 }
--- a/src/steering/internal/engine_limits.inl
+++ b/src/steering/internal/engine_limits.inl
@@ -1,4 +1,4 @@
-// Engine: limits that targets name in their answers.
+// Engine: limits and signals that targets give in their answers.
 #pragma once
 
 #include "base/hash.h"
@@ -25,10 +25,11 @@
 }
 
 template <typename Port, DecisionObserver Observer>
-base::Instant Engine<Port, Observer>::NextSendWithinLimit(const TargetState& target,
-                                                          base::Instant now) const {
-  if (!target.limit().is_active()) return now;
-  return target.limit().NextSendAt(PositionFor(target), now);
+base::Instant Engine<Port, Observer>::NextSendAt(const TargetState& target,
+                                                 base::Instant now) const {
+  const base::Instant after_backoff = std::max(target.signals().backoff_until(), now);
+  if (!target.limit().is_active()) return after_backoff;
+  return std::max(after_backoff, target.limit().NextSendAt(PositionFor(target), now));
 }
 
 template <typename Port, DecisionObserver Observer>
@@ -36,21 +37,45 @@
                                               base::Instant now) {
   TargetState& target = *attempt.target;
   const RateLimitReport& report = outcome.rate_limit;
-  if (report.kind == RateLimitReport::Kind::kMalformed) observer_.OnMalformedRateLimit(target, now);
+  if (report.kind == ReportKind::kMalformed) observer_.OnMalformedRateLimit(target, now);
   // Only the answer to a request that was served shows that the limit has ended: a refusal may
   // leave it out, and one of another incarnation says nothing about this one.
   const bool is_served =
       outcome.result == AttemptResult::kAnswered || outcome.result == AttemptResult::kFailed;
   const bool is_refusal_with_limit =
-      outcome.result == AttemptResult::kNotRun && report.kind == RateLimitReport::Kind::kNamed;
-  const bool is_relevant =
-      target.limit().is_active() || report.kind != RateLimitReport::Kind::kNone;
+      outcome.result == AttemptResult::kNotRun && report.kind == ReportKind::kGiven;
+  const bool is_relevant = target.limit().is_active() || report.kind != ReportKind::kNone;
   if (!is_relevant || (!is_served && !is_refusal_with_limit)) return;
   if (target.limit().OnAnswer(report, PositionFor(target), attempt.sent_at, now)) {
     observer_.OnRateLimitChanged(target, now);
   }
 }
 
+template <typename Port, DecisionObserver Observer>
+void Engine<Port, Observer>::ObserveSignals(const Attempt& attempt, const AttemptOutcome& outcome,
+                                            base::Instant now) {
+  TargetState& target = *attempt.target;
+  const bool is_malformed =
+      outcome.backoff.kind == ReportKind::kMalformed || outcome.leaving == ReportKind::kMalformed;
+  if (is_malformed) observer_.OnMalformedSignal(target, now);
+  if (target.signals().OnAnswer(outcome, now)) observer_.OnSignalsChanged(target, now);
+}
+
+template <typename Port, DecisionObserver Observer>
+base::Duration Engine<Port, Observer>::RetryAfterBackoff(const Exchange& exchange,
+                                                         base::Instant backoff_until,
+                                                         base::Instant now) const {
+  /// Part of the wait over which callers are spread, at most kMaxSpread.
+  constexpr std::int64_t kSpreadDivisor = 4;
+  constexpr base::Duration kMaxSpread = base::Duration::Milliseconds(500);
+  constexpr std::int64_t kSteps = 1000;
+  const base::Duration wait = backoff_until - now;
+  const base::Duration spread = std::min(wait / kSpreadDivisor, kMaxSpread);
+  const auto step = static_cast<std::int64_t>(base::Mix(settings_.host_key ^ exchange.id) % kSteps);
+  const base::Duration spread_wait = wait + spread * step / kSteps;
+  return std::max(std::min(spread_wait, exchange.deadline - now), kMinRetryAfter);
+}
+
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::ScheduleDispatch(ServiceState& service, base::Instant at) {
   if (at >= service.dispatch_at()) return;
--- a/src/steering/internal/target_limit.cc
+++ b/src/steering/internal/target_limit.cc
@@ -65,14 +65,14 @@
 bool TargetLimit::OnAnswer(const RateLimitReport& report, const HostPosition& position,
                            base::Instant sent_at, base::Instant now) {
   switch (report.kind) {
-    case RateLimitReport::Kind::kMalformed:
+    case ReportKind::kMalformed:
       return false;
-    case RateLimitReport::Kind::kNone: {
+    case ReportKind::kNone: {
       const bool ends = is_active_ && sent_at >= last_named_at_;
       if (ends) is_active_ = false;
       return ends;
     }
-    case RateLimitReport::Kind::kNamed:
+    case ReportKind::kGiven:
       break;
   }
   const bool is_new = !is_active_;
--- a/src/steering/internal/target_state.cc
+++ b/src/steering/internal/target_state.cc
@@ -43,15 +43,15 @@
   if (!is_other_incarnation) return;
   report_.reset();
   limit_ = TargetLimit();
+  signals_ = TargetSignals();
+  cold_mark_ = base::Instant();
   failure_ratio_ = 0;
   consecutive_failures_ = 0;
   ejected_until_ = base::Instant();
   service_time_samples_ = 0;
 }
 
-void TargetState::MarkCold(base::Instant until) {
-  record_.cold_until = std::max(record_.cold_until, until);
-}
+void TargetState::MarkCold(base::Instant until) { cold_mark_ = std::max(cold_mark_, until); }
 
 void TargetState::OnSent(base::Instant now) {
   if (own_in_flight_ == 0) last_activity_ = now;
--- a/src/steering/observer.h
+++ b/src/steering/observer.h
@@ -28,7 +28,7 @@
   observer.OnSent(exchange, choice, now);
   /// All candidate targets are full; `delay` is the expected time in the queue.
   observer.OnTargetsFull(exchange, choice, delay, now);
-  /// The limits that the targets have named leave no room before `delay` has passed.
+  /// What the targets have named, limits or back-offs, leaves no room before `delay` has passed.
   observer.OnTargetsLimited(exchange, delay, now);
   observer.OnOutcome(exchange, number, outcome, now);
   observer.OnRetry(exchange, reason, now);
@@ -39,6 +39,9 @@
   /// The target has named another limit, or none any more.
   observer.OnRateLimitChanged(target, now);
   observer.OnMalformedRateLimit(target, now);
+  /// The target has said that it is leaving, or until when it wants no requests.
+  observer.OnSignalsChanged(target, now);
+  observer.OnMalformedSignal(target, now);
 };
 
 }  // namespace mangonotch::steering
--- a/src/steering/target_state.h
+++ b/src/steering/target_state.h
@@ -2,6 +2,7 @@
 // reported load, failures and service time.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "steering/attempt.h"
 #include "steering/sliding_window_counter.h"
 #include "steering/target_limit.h"
+#include "steering/target_signals.h"
 
 namespace mangonotch::steering {
 
@@ -24,14 +26,14 @@
   std::uint64_t key() const { return key_; }
 
   /// Replaces the record. A record of another incarnation resets the load report, the limit, the
-  /// failures, the ejection and the service time.
+  /// signals, the failures, the ejection, the service time and what this host has marked as cold.
   void Update(const catalog::Target& record, std::string_view region);
   /// False if the target is missing from the current catalog.
   bool is_listed() const { return is_listed_; }
   void SetListed(bool is_listed) { is_listed_ = is_listed; }
   /// Treats the target as cold at least until `until`.
   void MarkCold(base::Instant until);
-  bool IsCold(base::Instant now) const { return now < record_.cold_until; }
+  bool IsCold(base::Instant now) const { return now < std::max(record_.cold_until, cold_mark_); }
 
   void OnSent(base::Instant now);
   /// `had_free_slot` is true if the target had a free slot when the request was sent, in which case
@@ -67,6 +69,8 @@
   base::Duration ReportAge(base::Instant now) const;
   TargetLimit& limit() { return limit_; }
   const TargetLimit& limit() const { return limit_; }
+  TargetSignals& signals() { return signals_; }
+  const TargetSignals& signals() const { return signals_; }
   /// Ejects the target because another incarnation answers at its address.
   void MarkMisdirected(base::Instant now);
 
@@ -74,6 +78,8 @@
   void CountFailure(base::Instant now);
 
   catalog::Target record_;
+  /// The target counts as cold until then, whatever its record says.
+  base::Instant cold_mark_;
   std::string region_;
   std::uint64_t key_;
   bool is_listed_ = true;
@@ -81,6 +87,7 @@
   std::uint32_t peer_in_flight_ = 0;
   SlidingWindowCounter recent_sends_;
   TargetLimit limit_;
+  TargetSignals signals_;
   std::optional<LoadReport> report_;
   base::Instant report_at_;
   double failure_ratio_ = 0;
--- a/src/steering/tests/engine_harness.h
+++ b/src/steering/tests/engine_harness.h
@@ -24,6 +24,8 @@
   void OnCallerGone(const Exchange&, base::Instant) {}
   void OnRateLimitChanged(const TargetState&, base::Instant) {}
   void OnMalformedRateLimit(const TargetState&, base::Instant) {}
+  void OnSignalsChanged(const TargetState&, base::Instant) {}
+  void OnMalformedSignal(const TargetState&, base::Instant) {}
 };
 
 struct RecordingPort {
--- a/src/steering/tests/engine_test.cc
+++ b/src/steering/tests/engine_test.cc
@@ -249,4 +249,77 @@
   REQUIRE(used.contains("t1"));
 }
 
+// Guards against the fault that a target which could not be reached was sent its full load again
+// after the next change of the catalog, which came before the target's own report that it is cold.
+TEST_CASE("A target that could not be reached stays cold when its unchanged record comes again") {
+  EngineHarness harness({MakeTarget("t1", "status", "a1", 50)});
+  harness.engine.SetHosts(16, std::vector<std::uint64_t>(15, 1));
+  const ExchangeId id = harness.Request("/look/1", 0);
+  harness.Outcome(id, AttemptResult::kNotSent, 10);
+  harness.Apply({MakeTarget("t1", "status", "a1", 50)}, 20);
+  const std::size_t sent = harness.port.sent.size();
+  for (int i = 0; i < 10; ++i) harness.Request("/look/2", 100 + i);
+  // Of 0.9 times 16 requests a second, one host of sixteen may send one.
+  REQUIRE(harness.port.sent.size() <= sent + 1);
+}
+
+// Guards against the fault that a request waited for the end of another one although a target
+// could serve it: the request before it in the queue had timed out and nothing looked again.
+TEST_CASE("When a waiting request times out, those behind it are sent to targets with room") {
+  catalog::Target only_for_second = MakeTarget("t2", "status", "b1", 1);
+  EngineHarness harness({MakeTarget("t1", "status", "a1", 1), only_for_second});
+  harness.configuration.routes.push_back(MakeRoute("/home/", true));
+  harness.configuration.routes.back().allowed_regions = {"A"};
+  harness.configuration.routes.back().priority = 0;
+  harness.configuration.routes.back().latency_objective = base::Duration::Milliseconds(150);
+  for (catalog::Route& it : harness.configuration.routes) {
+    if (it.path_prefix != "/home/") it.priority = 1;
+  }
+  ++harness.configuration.version;
+  harness.Apply({MakeTarget("t1", "status", "a1", 1), only_for_second}, 0);
+  // Fills both targets and their queues.
+  std::vector<ExchangeId> at_second;
+  for (int i = 0; i < 6; ++i) {
+    const ExchangeId id = harness.Request("/look/1", i);
+    if (harness.port.sent.back().id == id && harness.LastTarget() == "t2") at_second.push_back(id);
+  }
+  REQUIRE(at_second.size() == 3);
+  harness.Request("/home/1", 10);
+  const ExchangeId behind = harness.Request("/look/2", 11);
+  REQUIRE(harness.engine.IsOpen(behind));
+  // The second target gets room, which the first in the queue must not use.
+  harness.Outcome(at_second.front(), AttemptResult::kAnswered, 20);
+  REQUIRE(harness.port.sent.size() == 6);
+  harness.engine.OnTimer(At(61));
+  REQUIRE(harness.port.sent.size() == 7);
+  REQUIRE(harness.port.sent.back().id == behind);
+}
+
+TEST_CASE("A target that returns has the load of the requests that it still serves") {
+  EngineHarness harness({MakeTarget("t1", "status", "a1", 1), MakeTarget("t2", "status", "a1", 1)});
+  const ExchangeId id = harness.Request("/file/1", 0);
+  const std::string busy = harness.LastTarget();
+  const std::string other = busy == "t1" ? "t2" : "t1";
+  harness.Apply({MakeTarget(other, "status", "a1", 1)}, 10);
+  harness.Apply({MakeTarget("t1", "status", "a1", 1), MakeTarget("t2", "status", "a1", 1)}, 20);
+  harness.Request("/file/2", 30);
+  REQUIRE(harness.LastTarget() == other);
+  harness.Outcome(id, AttemptResult::kAnswered, 40);
+  REQUIRE(harness.port.delivered.size() == 1);
+}
+
+// Guards against requests that are taken late in a planned stop and cut off at its end.
+TEST_CASE("A stopping host refuses further requests as not run and completes those it has taken") {
+  EngineHarness harness({MakeTarget("t1")});
+  const ExchangeId taken = harness.Request("/file/1", 0);
+  harness.engine.StopTaking();
+  harness.Request("/file/2", 10);
+  REQUIRE(harness.port.sent.size() == 1);
+  const LocalReply& reply = harness.port.local_replies.back().reply;
+  REQUIRE(reply.kind == LocalReplyKind::kNotRun);
+  REQUIRE(reply.reason == LocalReplyReason::kStopping);
+  harness.Outcome(taken, AttemptResult::kAnswered, 20);
+  REQUIRE(harness.port.delivered.size() == 1);
+}
+
 }  // namespace mangonotch::steering
--- a/src/steering/tests/target_limit_test.cc
+++ b/src/steering/tests/target_limit_test.cc
@@ -130,7 +130,7 @@
       AttemptOutcome outcome{.result = AttemptResult::kAnswered};
       const double limit = targets_[answer.target].limit;
       if (limit >= 0 && IsLimitNamed()) {
-        outcome.rate_limit = {.kind = RateLimitReport::Kind::kNamed, .per_second = limit};
+        outcome.rate_limit = {.kind = ReportKind::kGiven, .per_second = limit};
       }
       host.engine.OnOutcome(answer.id, answer.number, outcome, At(ms_));
       TakeSent(answer.host);
@@ -203,7 +203,7 @@
 namespace {
 
 RateLimitReport Named(double per_second) {
-  return {.kind = RateLimitReport::Kind::kNamed, .per_second = per_second};
+  return {.kind = ReportKind::kGiven, .per_second = per_second};
 }
 
 void Answer(EngineHarness& host, ExchangeId id, const RateLimitReport& report, std::int64_t ms) {
@@ -254,7 +254,7 @@
 }
 
 TEST_CASE("A malformed limit neither starts nor ends a limit") {
-  const RateLimitReport malformed{.kind = RateLimitReport::Kind::kMalformed};
+  const RateLimitReport malformed{.kind = ReportKind::kMalformed};
   EngineHarness host({MakeTarget("t1", "status", "a1", 8)});
   Answer(host, host.Request("/look/1", 0), malformed, 10);
   for (int i = 0; i < 5; ++i) host.Request("/look/2", 20);
