Exchange heartbeats with other regions through relays

From 66 hosts a region on, the period of heartbeats was as long as the timeout. Look-ups named the first 64 hosts by name. All followers of a region copied the catalog from the same watcher. Every host watched the store until it had a configuration.

Change: a host sends to two hosts of each other region, chosen by hash, which pass its heartbeat on with their own. A heartbeat names its period, and its receivers work out the timeout from that. Look-ups and the choice of a catalog source spread by hash. A starting host answers no look-ups until it has heard its region for a period; a newcomer gets a reply at once; store watches start at different times.

Ruled out: relaying through the watchers alone (their links would carry all of it).

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -39,8 +39,9 @@
 /// Targets whose entries expired in an outage of the store register again within two seconds of
 /// its return; the remaining 0.5 s covers the time that their requests take to reach the store.
 constexpr Duration kRecoveryTime = Duration::Milliseconds(2500);
-/// Time that a starting host allows for the first messages from other hosts.
-constexpr Duration kPeerDiscoveryTime = Duration::Milliseconds(1500);
+/// A starting host leaves the store to others for a part of this time that follows from its name:
+/// where many hosts start together, most of them hear in time that others watch the store.
+constexpr Duration kMaxWatchDelay = Duration::Milliseconds(2000);
 constexpr Duration kLookupTtl = Duration::Seconds(2);
 constexpr std::size_t kMaxLookupHosts = 64;
 /// A stopping host keeps serving for this time before it drains, since callers cache looked-up
@@ -72,6 +73,12 @@
   return engine;
 }
 
+Duration WatchDelayOf(std::string_view host) {
+  constexpr std::uint64_t kSteps = 1000;
+  const auto step = static_cast<std::int64_t>(base::Hash(host) % kSteps);
+  return kMaxWatchDelay * step / static_cast<std::int64_t>(kSteps);
+}
+
 std::vector<base::Endpoint> PeersOfSeeds(const settings::EdgeSettings& settings) {
   std::vector<base::Endpoint> peers;
   for (const base::IpAddress& it : settings.seeds) {
@@ -134,6 +141,7 @@
   void CheckStopped();
   void FlushLog();
   bool IsReady() const { return has_configuration_ && has_targets_ && !is_leaving_; }
+  fleet::HostState StateForCallers() const;
 
   const settings::EdgeSettings& settings() const { return settings_watch_.current(); }
 
@@ -162,7 +170,8 @@
   bool has_targets_ = false;
   bool is_leaving_ = false;
   base::Instant leaving_since_;
-  const base::Instant started_at_ = http1::Now();
+  /// Not before then does this host watch the store.
+  base::Instant watch_from_;
 };
 
 EdgeHost::Control::Control(const settings::EdgeSettings& settings, std::string settings_path,
@@ -193,7 +202,9 @@
       settings_timer_(context_),
       flush_timer_(context_) {
   const base::Instant now = http1::Now();
+  members_.StartDiscovery(now);
   for (const base::Endpoint& it : PeersOfSeeds(settings)) members_.AddContact(it, now);
+  watch_from_ = members_.HasContacts() ? now + WatchDelayOf(settings.host) : now;
   WaitForSignal();
   ScheduleSettingsCheck();
   host_registration_.Start();
@@ -224,9 +235,7 @@
 
 void EdgeHost::Control::UpdateStoreWatches() {
   const base::Instant now = http1::Now();
-  // A host that has just started may not have received messages from the others yet.
-  const bool is_new = now < started_at_ + kPeerDiscoveryTime;
-  const bool watches = (is_new && !has_configuration_) || members_.ShouldWatchStore(now);
+  const bool watches = now >= watch_from_ && members_.ShouldWatchStore(now);
   if (watches != store_watches_.is_active()) {
     logging::Log(Level::kInfo, "watches_store", {{"watches", watches}});
   }
@@ -285,11 +294,17 @@
   return platform::ReadinessResponse(control.IsReady());
 }
 
+fleet::HostState EdgeHost::Control::StateForCallers() const {
+  if (is_leaving_) return fleet::HostState::kLeaving;
+  const bool is_serving = IsReady() && !members_.IsDiscovering(http1::Now());
+  return is_serving ? fleet::HostState::kServing : fleet::HostState::kStarting;
+}
+
 http1::Response EdgeHost::Control::ReplyLookup(Control& control, const http1::Request& request) {
   const auto query = platform::ParseResolve(request);
   if (!query) return {.status = 404};
-  const auto hosts =
-      control.members_.Resolve(query->region, !control.IsReady(), kMaxLookupHosts, http1::Now());
+  const auto hosts = control.members_.Resolve(query->region, control.StateForCallers(),
+                                              kMaxLookupHosts, http1::Now());
   return platform::ResolveResponse(hosts,
                                    std::min(kLookupTtl, control.settings().bounds.lookup_ttl));
 }
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -1,10 +1,11 @@
-// The heartbeat that hosts send each other several times a second, one datagram each.
+// The heartbeat that hosts send each other, one datagram each.
 #pragma once
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "base/duration.h"
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "catalog/store_position.h"
@@ -38,6 +39,9 @@
   base::Incarnation incarnation = 0;
   /// Increases with each heartbeat of an incarnation.
   std::uint64_t sequence = 0;
+  /// Time after which the receiver gets the next heartbeat of the sender, if none is lost. The
+  /// receiver works out from it when the sender counts as stopped.
+  base::Duration period{};
   /// The sender is stopping and accepts no new callers.
   bool is_leaving = false;
   /// The sender watches the store directly.
@@ -52,6 +56,9 @@
   std::vector<TargetLoad> loads{};
   /// Peer addresses of other hosts, through which each host discovers all others.
   std::vector<base::Endpoint> contacts{};
+  /// Heartbeats from hosts of other regions that the sender passes on to its own region, without
+  /// their lists.
+  std::vector<Heartbeat> relayed{};
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -2,6 +2,8 @@
 #include "fleet/members.h"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 #include <utility>
 
 #include "base/hash.h"
@@ -14,25 +16,40 @@
 /// Limits the number of requests to a store that does not respond.
 constexpr std::uint32_t kMaxActiveWatchersPerRegion = 5;
 
+/// Two, so that a host stays known in another region when one of its relays there fails.
+constexpr std::size_t kRelaysPerRegion = 2;
+/// A heartbeat that names a longer period is not believed: its sender would seem alive for ever.
+constexpr base::Duration kMaxPeriod = base::Duration::Seconds(8);
+
+/// Time without a heartbeat after which a host whose heartbeats have the given period counts as
+/// stopped: two heartbeats in a row may be lost. At least `minimum`, since a short pause of a host
+/// is no reason to avoid it.
+base::Duration TimeoutOf(base::Duration period, base::Duration minimum) {
+  return std::max(minimum, period * 5 / 2);
+}
+
+/// Time in which a starting host hears of others, if there are any.
+constexpr base::Duration kMinDiscoveryTime = base::Duration::Milliseconds(500);
+
 /// Hosts with lower ranks, that is higher bandwidth, are selected first.
 using WatcherRank = std::pair<std::int64_t, std::uint64_t>;
 
-WatcherRank RankOf(const HostRecord& record) {
+WatcherRank WatcherRankOf(const HostRecord& record) {
   return {-static_cast<std::int64_t>(record.link_mbps), base::Hash(record.host)};
 }
 
 }  // namespace
 
+Members::Members(HostRecord self, std::map<std::string, std::string, std::less<>> zones,
+                 const MemberTiming& timing)
+    : self_(std::move(self)),
+      self_key_(base::Hash(self_.host)),
+      zones_(std::move(zones)),
+      timing_(timing) {}
+
 bool Members::OnHeartbeat(const Heartbeat& heartbeat, base::Instant now) {
-  if (heartbeat.sender.host == self_.host) return false;
-  const auto [it, is_new] = members_.try_emplace(heartbeat.sender.host);
-  Member& member = it->second;
-  const bool is_same_incarnation =
-      !is_new && member.last_heartbeat.incarnation == heartbeat.incarnation;
-  if (is_same_incarnation && heartbeat.sequence <= member.last_heartbeat.sequence) return false;
-  member = {
-      .last_heartbeat = heartbeat, .received_at = now, .is_local = IsInOwnRegion(heartbeat.sender)};
-  AddContact(heartbeat.sender.peers, now);
+  if (!Apply(heartbeat, false, now)) return false;
+  for (const Heartbeat& it : heartbeat.relayed) Apply(it, true, now);
   for (const base::Endpoint& contact : heartbeat.contacts) {
     const bool is_known = std::any_of(contacts_.begin(), contacts_.end(),
                                       [&](const auto& known) { return known.first == contact; });
@@ -43,6 +60,37 @@
   return true;
 }
 
+bool Members::Apply(const Heartbeat& heartbeat, bool is_relayed, base::Instant now) {
+  if (heartbeat.sender.host == self_.host) return false;
+  const auto [it, is_new] = members_.try_emplace(heartbeat.sender.host);
+  Member& member = it->second;
+  const base::Incarnation known = member.last_heartbeat.incarnation;
+  const bool is_same_incarnation = !is_new && known == heartbeat.incarnation;
+  if (is_same_incarnation && heartbeat.sequence <= member.last_heartbeat.sequence) {
+    const bool was_passed_on = is_relayed && heartbeat.sequence == member.last_heartbeat.sequence;
+    if (was_passed_on) member.is_relay_due = false;
+    return false;
+  }
+  if (!is_new && heartbeat.incarnation == member.previous_incarnation) return false;
+  if (!is_new && !is_same_incarnation) member.previous_incarnation = known;
+  if (is_new) member.key = base::Hash(heartbeat.sender.host);
+  member.last_heartbeat = heartbeat;
+  member.last_heartbeat.relayed.clear();
+  member.received_at = now;
+  member.is_local = IsInOwnRegion(heartbeat.sender);
+  member.is_relay_due = !is_relayed && !member.is_local;
+  const base::Duration minimum =
+      member.is_local ? timing_.min_local_timeout : timing_.min_remote_timeout;
+  member.live_until = now + TimeoutOf(std::min(heartbeat.period, kMaxPeriod), minimum);
+  AddContact(heartbeat.sender.peers, now);
+  if (member.is_local && !is_same_incarnation) newcomers_.push_back(heartbeat.sender.peers);
+  if (member.is_local && !has_heard_region_) {
+    has_heard_region_ = true;
+    discovery_end_ = std::max(discovery_end_, now + std::min(heartbeat.period, kMaxPeriod));
+  }
+  return true;
+}
+
 void Members::AddContact(const base::Endpoint& address, base::Instant now) {
   if (address == self_.peers) return;
   for (auto& [contact, refreshed_at] : contacts_) {
@@ -61,13 +109,19 @@
                 [&](const auto& it) { return now - it.second > timing_.contact_retention; });
 }
 
-Members::ContactLists Members::Contacts() const {
+Members::ContactLists Members::Contacts(base::Instant now) const {
   std::map<std::pair<base::IpAddress, std::uint16_t>, bool> is_local_host;
+  std::map<std::string_view, std::vector<const Member*>> remote_regions;
   for (const auto& [host, member] : members_) {
-    const base::Endpoint& peers = member.last_heartbeat.sender.peers;
-    is_local_host[{peers.address, peers.port}] = member.is_local;
+    const HostRecord& sender = member.last_heartbeat.sender;
+    is_local_host[{sender.peers.address, sender.peers.port}] = member.is_local;
+    if (!member.is_local) remote_regions[RegionOf(sender.zone)].push_back(&member);
   }
   ContactLists lists;
+  lists.remote_regions = remote_regions.size();
+  for (const auto& [region, region_members] : remote_regions) {
+    AddRelays(region_members, now, lists.relays);
+  }
   for (const auto& [contact, refreshed_at] : contacts_) {
     const auto it = is_local_host.find({contact.address, contact.port});
     if (it == is_local_host.end()) {
@@ -79,9 +133,40 @@
   return lists;
 }
 
-bool Members::IsLive(const Member& member, base::Instant now) const {
-  const base::Duration limit = member.is_local ? timing_.local_timeout : timing_.remote_timeout;
-  return now - member.received_at <= limit;
+void Members::AddRelays(std::span<const Member* const> region, base::Instant now,
+                        std::vector<base::Endpoint>& relays) const {
+  std::vector<const Member*> candidates;
+  for (const Member* it : region) {
+    if (IsLive(*it, now) && !it->last_heartbeat.is_leaving) candidates.push_back(it);
+  }
+  if (candidates.empty()) {
+    // The region may be cut off. Any of its hosts may be the first that is reached again.
+    for (const Member* it : region) relays.push_back(it->last_heartbeat.sender.peers);
+    return;
+  }
+  const std::size_t n = std::min(kRelaysPerRegion, candidates.size());
+  std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(n),
+                    candidates.end(),
+                    [&](const Member* a, const Member* b) { return RankOf(*a) < RankOf(*b); });
+  for (std::size_t i = 0; i < n; ++i) relays.push_back(candidates[i]->last_heartbeat.sender.peers);
+}
+
+std::vector<Heartbeat> Members::TakeRelayed(std::size_t max_count) {
+  std::vector<Heartbeat> relayed;
+  const auto take_from = [&](MemberMap::iterator it, MemberMap::iterator end) {
+    for (; it != end && relayed.size() < max_count; ++it) {
+      Member& member = it->second;
+      if (!std::exchange(member.is_relay_due, false)) continue;
+      relayed.push_back(member.last_heartbeat);
+      relayed.back().loads.clear();
+      relayed.back().contacts.clear();
+      last_relayed_ = it->first;
+    }
+  };
+  const auto start = members_.upper_bound(last_relayed_);
+  take_from(start, members_.end());
+  take_from(members_.begin(), start);
+  return relayed;
 }
 
 std::uint32_t Members::CountPossiblyAlive(base::Instant now) const {
@@ -120,11 +205,11 @@
 }
 
 bool Members::ShouldWatchStore(base::Instant now) const {
-  const WatcherRank own_rank = RankOf(self_);
+  const WatcherRank own_rank = WatcherRankOf(self_);
   std::uint32_t fresh_count = 0;
   std::uint32_t watching_count = 0;
   for (const auto& [host, member] : members_) {
-    const bool is_before = RankOf(member.last_heartbeat.sender) < own_rank;
+    const bool is_before = WatcherRankOf(member.last_heartbeat.sender) < own_rank;
     if (!is_before || !member.is_local || !IsLive(member, now) ||
         member.last_heartbeat.is_leaving) {
       continue;
@@ -140,11 +225,12 @@
                                       Condition condition) const {
   const Member* best = nullptr;
   // Lower ranks are preferred: any other host before the avoided one, hosts of this region before
-  // those of others.
-  std::pair<bool, bool> best_rank;
+  // those of others. The hash spreads the hosts that look for the same thing.
+  std::tuple<bool, bool, std::uint64_t> best_rank;
   for (const auto& [host, member] : members_) {
     if (!IsLive(member, now) || !condition(member.last_heartbeat)) continue;
-    const std::pair rank{member.last_heartbeat.incarnation == avoided, !member.is_local};
+    const std::tuple rank{member.last_heartbeat.incarnation == avoided, !member.is_local,
+                          RankOf(member)};
     if (best != nullptr && rank >= best_rank) continue;
     best = &member;
     best_rank = rank;
@@ -172,21 +258,35 @@
   return it->second;
 }
 
-std::vector<base::Endpoint> Members::Resolve(std::string_view region, bool is_leaving,
+void Members::StartDiscovery(base::Instant now) { discovery_end_ = now + kMinDiscoveryTime; }
+
+std::vector<base::Endpoint> Members::Resolve(std::string_view region, HostState state,
                                              std::size_t max_count, base::Instant now) const {
-  std::vector<base::Endpoint> local;
-  std::vector<base::Endpoint> all;
-  const auto add = [&](const HostRecord& record) {
-    all.push_back(record.callers);
-    if (RegionOf(record.zone) == region) local.push_back(record.callers);
+  const bool is_starting = state == HostState::kStarting;
+  if (is_starting && IsDiscovering(now)) return {};
+  using RankedAddress = std::pair<std::uint64_t, base::Endpoint>;
+  std::vector<RankedAddress> local;
+  std::vector<RankedAddress> all;
+  const auto add = [&](std::uint64_t rank, const HostRecord& record) {
+    all.emplace_back(rank, record.callers);
+    if (RegionOf(record.zone) == region) local.emplace_back(rank, record.callers);
   };
-  if (!is_leaving) add(self_);
+  // Ranked like any other host, so that it is not part of all subsets that it returns itself.
+  if (state == HostState::kServing) add(base::Mix(self_key_), self_);
   for (const auto& [host, member] : members_) {
-    if (IsLive(member, now) && !member.last_heartbeat.is_leaving) add(member.last_heartbeat.sender);
+    if (!IsLive(member, now) || member.last_heartbeat.is_leaving) continue;
+    add(RankOf(member), member.last_heartbeat.sender);
+  }
+  std::vector<RankedAddress>& ranked = local.empty() && !is_starting ? all : local;
+  if (ranked.empty() && !is_starting) ranked.emplace_back(0, self_.callers);
+  if (ranked.size() > max_count) {
+    std::nth_element(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(max_count),
+                     ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    ranked.resize(max_count);
   }
-  std::vector<base::Endpoint> addresses = local.empty() ? std::move(all) : std::move(local);
-  if (addresses.empty()) addresses.push_back(self_.callers);
-  if (addresses.size() > max_count) addresses.resize(max_count);
+  std::vector<base::Endpoint> addresses;
+  addresses.reserve(ranked.size());
+  for (const RankedAddress& it : ranked) addresses.push_back(it.second);
   return addresses;
 }
 
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -6,18 +6,21 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "base/hash.h"
 #include "base/instant.h"
 #include "fleet/heartbeat.h"
 
 namespace mangonotch::fleet {
 
 struct MemberTiming {
-  /// A host of this region is considered stopped after this time without a heartbeat.
-  base::Duration local_timeout = base::Duration::Milliseconds(1800);
+  /// A host of this region is not considered stopped before this time without a heartbeat; later
+  /// if its heartbeats are rare.
+  base::Duration min_local_timeout = base::Duration::Milliseconds(1800);
   /// The same for a host of another region.
-  base::Duration remote_timeout = base::Duration::Milliseconds(4000);
+  base::Duration min_remote_timeout = base::Duration::Milliseconds(4000);
   /// A host counts as possibly alive for this time after its last heartbeat when totals are divided
   /// among all hosts: it may be running but partitioned from this host.
   base::Duration retention = base::Duration::Seconds(20);
@@ -25,29 +28,53 @@
   base::Duration contact_retention = base::Duration::Seconds(60);
 };
 
+/// What a host can say to callers who look up hosts.
+enum class HostState : std::uint8_t {
+  /// Not ready to serve callers, or does not know the hosts of its region yet.
+  kStarting,
+  kServing,
+  /// Stopping; callers should use others.
+  kLeaving,
+};
+
 class Members {
  public:
   /// `zones` maps each availability zone to its region.
   Members(HostRecord self, std::map<std::string, std::string, std::less<>> zones,
-          const MemberTiming& timing)
-      : self_(std::move(self)), zones_(std::move(zones)), timing_(timing) {}
+          const MemberTiming& timing);
 
-  /// Returns false for this host's own heartbeat and for one that is not newer than the last of
-  /// the same incarnation.
+  /// Applies a heartbeat and those that its sender passes on. Returns false for this host's own
+  /// heartbeat and for one that is not newer than the last one known from its sender.
   bool OnHeartbeat(const Heartbeat& heartbeat, base::Instant now);
+  /// Addresses of the hosts of this region whose incarnation was first heard of directly since the
+  /// last call. A heartbeat in reply saves a host that has just started the wait for the next one.
+  std::vector<base::Endpoint> TakeNewcomers() { return std::exchange(newcomers_, {}); }
+  /// Whether there is an address at which another host may be reached.
+  bool HasContacts() const { return !contacts_.empty(); }
   /// Adds or refreshes an address at which a host may be reached.
   void AddContact(const base::Endpoint& address, base::Instant now);
   /// Removes hosts and addresses whose retention time has passed.
   void Expire(base::Instant now);
 
-  /// Addresses to send heartbeats to: known hosts of this region, known hosts of other regions, and
-  /// addresses at which no host is known.
+  /// Addresses to send heartbeats to.
   struct ContactLists {
+    /// The known hosts of this region.
     std::vector<base::Endpoint> local;
+    /// The known hosts of other regions.
     std::vector<base::Endpoint> remote;
+    /// Those of `remote` that pass this host's heartbeats on to their regions: a few live hosts of
+    /// each region, or all known ones of a region without a live host. Every host chooses its own,
+    /// so that the work is spread over all hosts of a region.
+    std::vector<base::Endpoint> relays;
+    /// Addresses at which no host is known.
     std::vector<base::Endpoint> unconfirmed;
+    /// Number of regions other than this host's in which hosts are known.
+    std::size_t remote_regions = 0;
   };
-  ContactLists Contacts() const;
+  ContactLists Contacts(base::Instant now) const;
+  /// Heartbeats from other regions to pass on to this region: those that came directly and have
+  /// not been passed on by another host yet, in turn, at most `max_count`.
+  std::vector<Heartbeat> TakeRelayed(std::size_t max_count);
   /// Number of hosts that may be alive, including this one; totals over all hosts are divided
   /// by it.
   std::uint32_t CountPossiblyAlive(base::Instant now) const;
@@ -75,10 +102,18 @@
     return RegionOf(record.zone) == RegionOf(self_.zone);
   }
 
+  /// Begins the time in which this host learns which hosts its region has: until the first of them
+  /// that it hears of has sent all others' heartbeats a period later, or until it hears of none.
+  void StartDiscovery(base::Instant now);
+  bool IsDiscovering(base::Instant now) const { return now < discovery_end_; }
+
   /// Caller addresses for callers of a region: the live hosts there that are not stopping, or those
-  /// of all regions if the region has none. This host is excluded if `is_leaving` is set, unless
-  /// there is no other. Returns at least one and at most `max_count` addresses.
-  std::vector<base::Endpoint> Resolve(std::string_view region, bool is_leaving,
+  /// of all regions if the region has none. This host is included only in the state kServing, or if
+  /// it is stopping and there is no other. A starting host returns no hosts of another region, and
+  /// none at all while it discovers its own: it would move callers, or send all of them to the few
+  /// hosts that it has heard of. Returns at most `max_count` addresses; if there are more, every
+  /// host returns another subset that changes only with the hosts, so that all get callers.
+  std::vector<base::Endpoint> Resolve(std::string_view region, HostState state,
                                       std::size_t max_count, base::Instant now) const;
 
   const HostRecord& self() const { return self_; }
@@ -87,23 +122,48 @@
   struct Member {
     Heartbeat last_heartbeat;
     base::Instant received_at;
+    /// The host counts as stopped from then on.
+    base::Instant live_until;
+    /// Hash of the host's name.
+    std::uint64_t key = 0;
     /// The host is in this host's region. Kept here, since decisions go through all members.
     bool is_local = false;
+    /// The last heartbeat is still to be passed on to this region.
+    bool is_relay_due = false;
+    /// The incarnation before the one of the last heartbeat; 0 if none is known. Its heartbeats may
+    /// still arrive through other hosts.
+    base::Incarnation previous_incarnation = 0;
   };
+  using MemberMap = std::map<base::HostId, Member>;
 
-  bool IsLive(const Member& member, base::Instant now) const;
+  /// Applies a heartbeat that came from its sender or through another host.
+  bool Apply(const Heartbeat& heartbeat, bool is_relayed, base::Instant now);
+  static bool IsLive(const Member& member, base::Instant now) { return now <= member.live_until; }
   /// The last heartbeat of a live host for which `condition` holds, preferably of this region; null
-  /// if there is none. `avoided` is returned only if there is no other.
+  /// if there is none. `avoided` is returned only if there is no other. Hosts differ in which of
+  /// several they choose.
   template <typename Condition>
   const Heartbeat* FindNearest(base::Incarnation avoided, base::Instant now,
                                Condition condition) const;
+  /// Appends the relays of the region with these members.
+  void AddRelays(std::span<const Member* const> region, base::Instant now,
+                 std::vector<base::Endpoint>& relays) const;
+  /// The member's rank for this host by rendezvous hashing.
+  std::uint64_t RankOf(const Member& member) const { return base::Mix(self_key_ ^ member.key); }
   std::string_view RegionOf(std::string_view zone) const;
 
   HostRecord self_;
+  /// Hash of this host's name.
+  std::uint64_t self_key_;
   std::map<std::string, std::string, std::less<>> zones_;
   MemberTiming timing_;
   /// The other hosts, by name.
-  std::map<base::HostId, Member> members_;
+  MemberMap members_;
+  base::Instant discovery_end_;
+  bool has_heard_region_ = false;
+  std::vector<base::Endpoint> newcomers_;
+  /// Name of the member that was last passed on, from which the next turn goes on.
+  base::HostId last_relayed_;
   /// Peer addresses other than this host's own, each with the time of its last refresh.
   std::vector<std::pair<base::Endpoint, base::Instant>> contacts_;
 };
--- a/src/fleet/tests/catalog_sync_test.cc
+++ b/src/fleet/tests/catalog_sync_test.cc
@@ -18,7 +18,8 @@
 }
 
 struct Fixture {
-  /// A heartbeat of a host whose name is its incarnation. Names order the hosts.
+  /// A heartbeat of a host whose name is its incarnation. Of several hosts of a region, this host
+  /// prefers those with lower numbers: its name is chosen so that the hash orders them like that.
   void Hear(base::Incarnation host, const std::string& zone, bool is_fresh,
             const StorePosition& newest, std::uint64_t catalog_sequence, std::int64_t ms) {
     members.OnHeartbeat({.sender = {.host = std::to_string(host),
@@ -36,7 +37,7 @@
     return sync.Next(members, applied, is_fresh, At(ms));
   }
 
-  Members members{{.host = "self", .zone = "a1"}, {{"a1", "A"}, {"b1", "B"}}, {}};
+  Members members{{.host = "self-95", .zone = "a1"}, {{"a1", "A"}, {"b1", "B"}}, {}};
   CatalogSync sync;
   std::uint64_t heartbeat_sequence = 0;
 };
--- a/src/fleet/tests/members_test.cc
+++ b/src/fleet/tests/members_test.cc
@@ -40,24 +40,25 @@
   Members members = MakeMembers(Self());
   members.OnHeartbeat(MakeHeartbeat(Near()), At(0));
   members.OnHeartbeat(MakeHeartbeat(Far()), At(0));
-  REQUIRE(members.Resolve("A", false, 64, At(100)) == std::vector{Self().callers, Near().callers});
-  REQUIRE(members.Resolve("B", false, 64, At(100)) == std::vector{Far().callers});
+  REQUIRE(members.Resolve("A", HostState::kServing, 64, At(100)) ==
+          std::vector{Self().callers, Near().callers});
+  REQUIRE(members.Resolve("B", HostState::kServing, 64, At(100)) == std::vector{Far().callers});
 }
 
 TEST_CASE("Hosts without recent heartbeats and stopping hosts are not returned") {
   Members members = MakeMembers(Self());
   members.OnHeartbeat(MakeHeartbeat(Near()), At(0));
-  REQUIRE(members.Resolve("A", false, 64, At(5000)) == std::vector{Self().callers});
+  REQUIRE(members.Resolve("A", HostState::kServing, 64, At(5000)) == std::vector{Self().callers});
   Heartbeat leaving = MakeHeartbeat(Near(), 2);
   leaving.is_leaving = true;
   members.OnHeartbeat(leaving, At(5000));
-  REQUIRE(members.Resolve("A", false, 64, At(5001)) == std::vector{Self().callers});
+  REQUIRE(members.Resolve("A", HostState::kServing, 64, At(5001)) == std::vector{Self().callers});
 }
 
 TEST_CASE("A region without hosts gets hosts of other regions, and the result is never empty") {
   Members members = MakeMembers(Self());
-  REQUIRE(members.Resolve("B", false, 64, At(0)) == std::vector{Self().callers});
-  REQUIRE(members.Resolve("A", true, 64, At(0)) == std::vector{Self().callers});
+  REQUIRE(members.Resolve("B", HostState::kServing, 64, At(0)) == std::vector{Self().callers});
+  REQUIRE(members.Resolve("A", HostState::kLeaving, 64, At(0)) == std::vector{Self().callers});
 }
 
 TEST_CASE("Out-of-order heartbeats do not override newer ones") {
@@ -66,7 +67,7 @@
   leaving.is_leaving = true;
   REQUIRE(members.OnHeartbeat(leaving, At(0)));
   REQUIRE_FALSE(members.OnHeartbeat(MakeHeartbeat(Near(), 4), At(1)));
-  REQUIRE(members.Resolve("A", false, 64, At(2)) == std::vector{Self().callers});
+  REQUIRE(members.Resolve("A", HostState::kServing, 64, At(2)) == std::vector{Self().callers});
 }
 
 TEST_CASE("Hosts without recent heartbeats count as possibly alive when totals are divided") {
@@ -142,11 +143,143 @@
   Heartbeat heartbeat = MakeHeartbeat(Near());
   heartbeat.contacts = {MakeEndpoint(77), Self().peers};
   members.OnHeartbeat(heartbeat, At(0));
-  REQUIRE(members.Contacts().local == std::vector{Near().peers});
-  REQUIRE(members.Contacts().unconfirmed == std::vector{MakeEndpoint(77)});
+  REQUIRE(members.Contacts(At(0)).local == std::vector{Near().peers});
+  REQUIRE(members.Contacts(At(0)).unconfirmed == std::vector{MakeEndpoint(77)});
   members.OnHeartbeat(MakeHeartbeat(Near(), 2), At(59'000));
   members.Expire(At(61'000));
-  REQUIRE(members.Contacts().unconfirmed.empty());
+  REQUIRE(members.Contacts(At(61'000)).unconfirmed.empty());
+}
+
+// Guards against the fault of regions of over 64 hosts: the last ones by name never got a caller.
+TEST_CASE("In a region with more hosts than an answer may name, all of them get callers") {
+  constexpr std::uint16_t kHosts = 100;
+  constexpr std::size_t kMaxCount = 64;
+  std::vector<HostRecord> hosts;
+  for (std::uint16_t i = 1; i <= kHosts; ++i) {
+    hosts.push_back(MakeRecord("host-" + std::to_string(i), "a1", i));
+  }
+  std::map<std::uint16_t, int> answers_by_port;
+  for (const HostRecord& self : hosts) {
+    Members members = MakeMembers(self);
+    for (const HostRecord& it : hosts) members.OnHeartbeat(MakeHeartbeat(it), At(0));
+    const auto addresses = members.Resolve("A", HostState::kServing, kMaxCount, At(1));
+    REQUIRE(addresses.size() == kMaxCount);
+    REQUIRE(addresses == members.Resolve("A", HostState::kServing, kMaxCount, At(2)));
+    for (const base::Endpoint& it : addresses) ++answers_by_port[it.port];
+  }
+  REQUIRE(answers_by_port.size() == kHosts);
+  for (const auto& [port, answers] : answers_by_port) REQUIRE(answers > 64 / 2);
+}
+
+TEST_CASE("Hosts of other regions are known from heartbeats that hosts of this region pass on") {
+  Members members = MakeMembers(Self());
+  Heartbeat heartbeat = MakeHeartbeat(Near());
+  heartbeat.relayed = {MakeHeartbeat(Far())};
+  members.OnHeartbeat(heartbeat, At(0));
+  REQUIRE(members.Resolve("B", HostState::kServing, 64, At(100)) == std::vector{Far().callers});
+  REQUIRE(members.TakeRelayed(8).empty());
+}
+
+TEST_CASE("A heartbeat from another region is passed on once, unless another host has done so") {
+  Members members = MakeMembers(Self());
+  members.OnHeartbeat(MakeHeartbeat(Far()), At(0));
+  members.OnHeartbeat(MakeHeartbeat(Near()), At(0));
+  const auto relayed = members.TakeRelayed(8);
+  REQUIRE(relayed.size() == 1);
+  REQUIRE(relayed.front().sender == Far());
+  REQUIRE(members.TakeRelayed(8).empty());
+  members.OnHeartbeat(MakeHeartbeat(Far(), 2), At(10));
+  Heartbeat heartbeat = MakeHeartbeat(Near(), 2);
+  heartbeat.relayed = {MakeHeartbeat(Far(), 2)};
+  members.OnHeartbeat(heartbeat, At(20));
+  REQUIRE(members.TakeRelayed(8).empty());
+}
+
+// Guards against a host that has restarted and passes for leaving again, since a heartbeat of its
+// last incarnation arrives late through another host.
+TEST_CASE("A heartbeat of the incarnation before the present one does not override it") {
+  Members members = MakeMembers(Self());
+  Heartbeat leaving = MakeHeartbeat(Far(), 9);
+  leaving.is_leaving = true;
+  members.OnHeartbeat(leaving, At(0));
+  Heartbeat restarted = MakeHeartbeat(Far(), 1);
+  restarted.incarnation = 2;
+  REQUIRE(members.OnHeartbeat(restarted, At(10)));
+  Heartbeat late = MakeHeartbeat(Near());
+  late.relayed = {leaving};
+  members.OnHeartbeat(late, At(20));
+  REQUIRE(members.Resolve("B", HostState::kServing, 64, At(30)) == std::vector{Far().callers});
+}
+
+TEST_CASE("Hosts spread their heartbeats to another region over all its hosts") {
+  std::map<std::uint16_t, int> receivers;
+  for (int host = 0; host < 60; ++host) {
+    Members members = MakeMembers(MakeRecord("self-" + std::to_string(host), "a1", 1));
+    for (std::uint16_t i = 10; i < 20; ++i) {
+      members.OnHeartbeat(MakeHeartbeat(MakeRecord("far-" + std::to_string(i), "b1", i)), At(0));
+    }
+    const auto relays = members.Contacts(At(1)).relays;
+    REQUIRE(relays.size() == 2);
+    for (const base::Endpoint& it : relays) ++receivers[it.port];
+  }
+  REQUIRE(receivers.size() == 10);
+  for (const auto& [port, n] : receivers) REQUIRE(n < 30);
+}
+
+TEST_CASE("A host whose heartbeats are rare does not count as stopped between two of them") {
+  Members members = MakeMembers(Self());
+  Heartbeat rare = MakeHeartbeat(Near());
+  rare.period = base::Duration::Seconds(2);
+  members.OnHeartbeat(rare, At(0));
+  REQUIRE(members.CountLive(At(4900)) == 2);
+  REQUIRE(members.CountLive(At(5100)) == 1);
+}
+
+TEST_CASE("A host that names a period beyond reason counts as stopped all the same") {
+  Members members = MakeMembers(Self());
+  Heartbeat endless = MakeHeartbeat(Near());
+  endless.period = base::Duration::Seconds(1'000'000);
+  members.OnHeartbeat(endless, At(0));
+  REQUIRE(members.CountLive(At(30'000)) == 1);
+}
+
+// Guards against look-ups at hosts that have just started: after half of all hosts had lost power,
+// restarted hosts that knew no host of their region yet sent its callers to other regions.
+TEST_CASE(
+    "A starting host sends callers neither to other regions nor to the first host it hears of") {
+  Members members = MakeMembers(Self());
+  members.StartDiscovery(At(0));
+  members.OnHeartbeat(MakeHeartbeat(Far()), At(100));
+  REQUIRE(members.Resolve("A", HostState::kStarting, 64, At(150)).empty());
+  Heartbeat rare = MakeHeartbeat(Near());
+  rare.period = base::Duration::Milliseconds(1350);
+  members.OnHeartbeat(rare, At(200));
+  REQUIRE(members.IsDiscovering(At(1500)));
+  REQUIRE(members.Resolve("A", HostState::kStarting, 64, At(1500)).empty());
+  REQUIRE_FALSE(members.IsDiscovering(At(1600)));
+  REQUIRE(members.Resolve("A", HostState::kStarting, 64, At(1600)) == std::vector{Near().callers});
+  REQUIRE(members.Resolve("B", HostState::kStarting, 64, At(1600)) == std::vector{Far().callers});
+}
+
+TEST_CASE("A host that is alone in its region stops looking for others after a moment") {
+  Members members = MakeMembers(Self());
+  members.StartDiscovery(At(0));
+  members.OnHeartbeat(MakeHeartbeat(Far()), At(100));
+  REQUIRE_FALSE(members.IsDiscovering(At(600)));
+  REQUIRE(members.Resolve("A", HostState::kServing, 64, At(600)) == std::vector{Self().callers});
+}
+
+TEST_CASE("A host of the region that has just started gets a reply to its first heartbeat only") {
+  Members members = MakeMembers(Self());
+  members.OnHeartbeat(MakeHeartbeat(Near()), At(0));
+  members.OnHeartbeat(MakeHeartbeat(Far()), At(0));
+  REQUIRE(members.TakeNewcomers() == std::vector{Near().peers});
+  members.OnHeartbeat(MakeHeartbeat(Near(), 2), At(150));
+  REQUIRE(members.TakeNewcomers().empty());
+  Heartbeat restarted = MakeHeartbeat(Near());
+  restarted.incarnation = 2;
+  members.OnHeartbeat(restarted, At(300));
+  REQUIRE(members.TakeNewcomers() == std::vector{Near().peers});
 }
 
 }  // namespace mangonotch::fleet
--- a/src/peering/codec.h
+++ b/src/peering/codec.h
@@ -19,9 +19,11 @@
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
 /// Maximum lengths of the lists in a heartbeat, so that it fits into a datagram.
 inline constexpr std::size_t kMaxLoads = 80;
-inline constexpr std::size_t kMaxContacts = 10;
+inline constexpr std::size_t kMaxContacts = 6;
+inline constexpr std::size_t kMaxRelayed = 8;
 
-/// Truncates `loads` and `contacts` to their maximum lengths.
+/// Truncates the lists to their maximum lengths, and `relayed` further if the datagram would
+/// otherwise be too long. The lists of relayed heartbeats are left out.
 std::string EncodeHeartbeat(const fleet::Heartbeat& heartbeat);
 /// Returns nullopt if `bytes` is not a heartbeat of this format version.
 std::optional<fleet::Heartbeat> DecodeHeartbeat(std::string_view bytes);
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -1,4 +1,5 @@
-// Exchanges heartbeats with the other hosts over UDP. Serves catalog changes over HTTP to hosts
+// Exchanges heartbeats with the other hosts over UDP: with each host of the region, and with a few
+// relays of each other region, which pass them on there. Serves catalog changes over HTTP to hosts
 // that do not watch the store, and fetches them from another host when this host does not watch it
 // or has fallen behind.
 #pragma once
@@ -16,6 +17,7 @@
 #include "base/random.h"
 #include "discovery/registry.h"
 #include "fleet/catalog_sync.h"
+#include "fleet/heartbeat_schedule.h"
 #include "fleet/members.h"
 #include "http1/client_connection.h"
 #include "http1/server.h"
@@ -62,8 +64,15 @@
   void OnFetched(const http1::ExchangeResult& result);
   void OnFetchFailed(std::string_view cause);
   void CloseFetch();
-  void SendTo(std::span<const base::Endpoint> receivers, bool with_loads,
-              const fleet::Members::ContactLists& contacts);
+  /// Sends a heartbeat to the hosts of this region that have just been heard of.
+  void GreetNewcomers();
+  /// Sends a heartbeat with loads and relayed heartbeats to the hosts of this region.
+  void SendLocally(const fleet::Members::ContactLists& contacts);
+  void SendTo(std::span<const base::Endpoint> receivers, const fleet::Heartbeat& heartbeat);
+  /// The heartbeat for hosts of other regions.
+  fleet::Heartbeat RemoteHeartbeat(const fleet::Members::ContactLists& contacts);
+  fleet::Heartbeat MakeHeartbeat(std::uint64_t period_intervals,
+                                 const fleet::Members::ContactLists& contacts);
   void AddContacts(std::span<const base::Endpoint> contacts, fleet::Heartbeat& heartbeat);
 
   boost::asio::io_context& context_;
@@ -85,8 +94,7 @@
   fleet::CatalogSync catalog_sync_;
   /// Incarnation of the source that was last logged.
   base::Incarnation logged_source_ = 0;
-  /// Heartbeat intervals since the start.
-  std::uint64_t interval_count_ = 0;
+  fleet::HeartbeatSchedule schedule_;
 };
 
 }  // namespace mangonotch::peering
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -1,6 +1,7 @@
 // Serialization of the messages with cereal.
 #include "peering/codec.h"
 
+#include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
 #include <cereal/types/set.hpp>
@@ -11,9 +12,25 @@
 
 namespace mangonotch::base {
 
+/// IpAddress keeps an IPv4 address behind these bytes.
+constexpr std::size_t kV4Offset = 12;
+constexpr std::array<std::uint8_t, 16> kV4Prefix = {0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff};
+
+// An IPv4 address is encoded in four bytes: addresses are the larger part of a heartbeat.
+
+template <typename Archive>
+void save(Archive& archive, const IpAddress& address) {
+  archive(address.is_v4);
+  const std::size_t start = address.is_v4 ? kV4Offset : 0;
+  for (std::size_t i = start; i < address.bytes.size(); ++i) archive(address.bytes[i]);
+}
+
 template <typename Archive>
-void serialize(Archive& archive, IpAddress& address) {
-  archive(address.bytes, address.is_v4);
+void load(Archive& archive, IpAddress& address) {
+  archive(address.is_v4);
+  if (address.is_v4) address.bytes = kV4Prefix;
+  const std::size_t start = address.is_v4 ? kV4Offset : 0;
+  for (std::size_t i = start; i < address.bytes.size(); ++i) archive(address.bytes[i]);
 }
 
 template <typename Archive>
@@ -82,10 +99,11 @@
   archive(it.target_key, it.in_flight);
 }
 
+/// All of a heartbeat but its lists.
 template <typename Archive>
-void serialize(Archive& archive, Heartbeat& it) {
-  archive(it.sender, it.incarnation, it.sequence, it.is_leaving, it.watches_store,
-          it.has_fresh_catalog, it.catalog_sequence, it.newest, it.loads, it.contacts);
+void SerializeStatus(Archive& archive, Heartbeat& it) {
+  archive(it.sender, it.incarnation, it.sequence, it.period, it.is_leaving, it.watches_store,
+          it.has_fresh_catalog, it.catalog_sequence, it.newest);
 }
 
 }  // namespace mangonotch::fleet
@@ -96,8 +114,29 @@
 using fleet::Heartbeat;
 
 /// The low byte is the format version; it must change with every change of the encoding.
-constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6802;
-constexpr std::uint32_t kChangesMagic = 0x6d6e6302;
+constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6803;
+constexpr std::uint32_t kChangesMagic = 0x6d6e6303;
+
+struct WireRelayed {
+  Heartbeat heartbeat;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    fleet::SerializeStatus(archive, heartbeat);
+  }
+};
+
+/// `heartbeat.relayed` is encoded from `relayed`, without the lists of these heartbeats.
+struct WireHeartbeat {
+  Heartbeat heartbeat;
+  std::vector<WireRelayed> relayed{};
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    fleet::SerializeStatus(archive, heartbeat);
+    archive(heartbeat.loads, heartbeat.contacts, relayed);
+  }
+};
 
 /// A target with its remaining cold time in place of an instant, which is valid only on the
 /// sender's clock.
@@ -170,14 +209,28 @@
 }  // namespace
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
-  Heartbeat bounded = heartbeat;
-  if (bounded.loads.size() > kMaxLoads) bounded.loads.resize(kMaxLoads);
-  if (bounded.contacts.size() > kMaxContacts) bounded.contacts.resize(kMaxContacts);
-  return Encode(kHeartbeatMagic, bounded);
+  WireHeartbeat wire{.heartbeat = heartbeat};
+  std::vector<fleet::TargetLoad>& loads = wire.heartbeat.loads;
+  std::vector<base::Endpoint>& contacts = wire.heartbeat.contacts;
+  if (loads.size() > kMaxLoads) loads.resize(kMaxLoads);
+  if (contacts.size() > kMaxContacts) contacts.resize(kMaxContacts);
+  for (const Heartbeat& it : heartbeat.relayed) {
+    if (wire.relayed.size() < kMaxRelayed) wire.relayed.push_back({it});
+  }
+  std::string bytes = Encode(kHeartbeatMagic, wire);
+  while (bytes.size() > kMaxDatagramBytes && !wire.relayed.empty()) {
+    wire.relayed.pop_back();
+    bytes = Encode(kHeartbeatMagic, wire);
+  }
+  return bytes;
 }
 
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view bytes) {
-  return Decode<Heartbeat>(kHeartbeatMagic, bytes);
+  auto wire = Decode<WireHeartbeat>(kHeartbeatMagic, bytes);
+  if (!wire) return std::nullopt;
+  Heartbeat heartbeat = std::move(wire->heartbeat);
+  for (WireRelayed& it : wire->relayed) heartbeat.relayed.push_back(std::move(it.heartbeat));
+  return heartbeat;
 }
 
 std::string EncodeChanges(const discovery::CatalogChanges& changes, base::Instant now) {
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "base/error.h"
+#include "fleet/heartbeat_schedule.h"
 #include "http1/asio_address.h"
 #include "http1/clock.h"
 #include "logging/log.h"
@@ -14,16 +15,8 @@
 namespace mangonotch::peering {
 namespace {
 
-constexpr base::Duration kHeartbeatInterval = base::Duration::Milliseconds(150);
-/// The period of heartbeats to the hosts of this region is one interval, plus one interval for each
-/// full group of this many hosts.
-constexpr std::size_t kLocalHostsPerInterval = 6;
-/// Intervals between two heartbeats to a host of another region, and to an address at which no host
-/// is known.
-constexpr std::uint64_t kRemotePeriodIntervals = 7;
-constexpr std::uint64_t kUnconfirmedPeriodIntervals = 3;
 /// Maximum number of contacts of this region, and of other regions, in a heartbeat.
-constexpr std::size_t kMaxContactsPerKind = 5;
+constexpr std::size_t kMaxContactsPerKind = 3;
 /// Time limit for fetching changes from another host.
 constexpr base::Duration kFetchTimeout = base::Duration::Milliseconds(800);
 constexpr std::string_view kChangesPath = "/changes/";
@@ -64,6 +57,7 @@
         if (!ec) {
           if (const auto heartbeat = DecodeHeartbeat({receive_buffer_.data(), n})) {
             members_.OnHeartbeat(*heartbeat, http1::Now());
+            GreetNewcomers();
             const bool is_ahead = catalog::IsBehind(registry_.applied(), heartbeat->newest);
             if (heartbeat->has_fresh_catalog || is_ahead) FetchIfBehind();
           }
@@ -73,29 +67,54 @@
 }
 
 void Gossip::Announce() {
-  const fleet::Members::ContactLists contacts = members_.Contacts();
-  SendTo(contacts.local, true, contacts);
-  SendTo(contacts.remote, false, contacts);
-  SendTo(contacts.unconfirmed, false, contacts);
+  const fleet::Members::ContactLists contacts = members_.Contacts(http1::Now());
+  SendLocally(contacts);
+  SendTo(contacts.remote, RemoteHeartbeat(contacts));
+  SendTo(contacts.unconfirmed, RemoteHeartbeat(contacts));
 }
 
-void Gossip::AnnounceLocally() {
-  const fleet::Members::ContactLists contacts = members_.Contacts();
-  SendTo(contacts.local, true, contacts);
+void Gossip::GreetNewcomers() {
+  const std::vector<base::Endpoint> newcomers = members_.TakeNewcomers();
+  if (newcomers.empty()) return;
+  const fleet::Members::ContactLists contacts = members_.Contacts(http1::Now());
+  SendTo(newcomers, MakeHeartbeat(fleet::LocalPeriodIntervals(contacts.local.size()), contacts));
 }
 
-void Gossip::SendTo(std::span<const base::Endpoint> receivers, bool with_loads,
-                    const fleet::Members::ContactLists& contacts) {
-  if (receivers.empty()) return;
+void Gossip::AnnounceLocally() { SendLocally(members_.Contacts(http1::Now())); }
+
+void Gossip::SendLocally(const fleet::Members::ContactLists& contacts) {
+  if (contacts.local.empty()) return;
+  fleet::Heartbeat heartbeat =
+      MakeHeartbeat(fleet::LocalPeriodIntervals(contacts.local.size()), contacts);
+  heartbeat.relayed = members_.TakeRelayed(kMaxRelayed);
+  // A host that misses this heartbeat hears of the relayed hosts with the next ones of both.
+  for (fleet::Heartbeat& it : heartbeat.relayed) it.period = it.period + heartbeat.period;
+  SendTo(contacts.local, heartbeat);
+}
+
+fleet::Heartbeat Gossip::RemoteHeartbeat(const fleet::Members::ContactLists& contacts) {
+  fleet::Heartbeat heartbeat =
+      MakeHeartbeat(fleet::RemotePeriodIntervals(contacts.remote_regions), contacts);
+  // Loads matter only to the hosts of the targets' region, which send most of their requests.
+  heartbeat.loads.clear();
+  return heartbeat;
+}
+
+fleet::Heartbeat Gossip::MakeHeartbeat(std::uint64_t period_intervals,
+                                       const fleet::Members::ContactLists& contacts) {
   fleet::Heartbeat heartbeat{.sender = members_.self(),
                              .incarnation = incarnation_,
                              .sequence = ++sequence_,
+                             .period = fleet::PeriodOf(period_intervals),
                              .catalog_sequence = registry_.sequence(),
                              .newest = registry_.newest()};
   callbacks_.fill_heartbeat(heartbeat);
-  if (!with_loads) heartbeat.loads.clear();
   AddContacts(contacts.local, heartbeat);
   AddContacts(contacts.remote, heartbeat);
+  return heartbeat;
+}
+
+void Gossip::SendTo(std::span<const base::Endpoint> receivers, const fleet::Heartbeat& heartbeat) {
   const std::string bytes = EncodeHeartbeat(heartbeat);
   for (const base::Endpoint& it : receivers) {
     boost::system::error_code ec;
@@ -113,20 +132,16 @@
 }
 
 void Gossip::OnInterval() {
-  members_.Expire(http1::Now());
-  const fleet::Members::ContactLists contacts = members_.Contacts();
-  // The total rate of datagrams grows with the number of host pairs, so the period increases with
-  // the number of hosts.
-  const std::uint64_t local_period_intervals = 1 + contacts.local.size() / kLocalHostsPerInterval;
-  if (interval_count_ % local_period_intervals == 0) SendTo(contacts.local, true, contacts);
-  if (interval_count_ % kRemotePeriodIntervals == 0) SendTo(contacts.remote, false, contacts);
-  if (interval_count_ % kUnconfirmedPeriodIntervals == 0) {
-    SendTo(contacts.unconfirmed, false, contacts);
-  }
-  ++interval_count_;
+  const base::Instant now = http1::Now();
+  members_.Expire(now);
+  const fleet::Members::ContactLists contacts = members_.Contacts(now);
+  const fleet::HeartbeatRound round = schedule_.Next(contacts);
+  if (!round.local.empty()) SendLocally(contacts);
+  if (!round.relays.empty()) SendTo(round.relays, RemoteHeartbeat(contacts));
+  if (!round.unconfirmed.empty()) SendTo(round.unconfirmed, RemoteHeartbeat(contacts));
   callbacks_.on_interval();
   FetchIfBehind();
-  interval_timer_.expires_after(http1::ToChrono(kHeartbeatInterval));
+  interval_timer_.expires_after(http1::ToChrono(fleet::kHeartbeatInterval));
   interval_timer_.async_wait([this](boost::system::error_code ec) {
     if (!ec) OnInterval();
   });
--- a/src/peering/tests/codec_test.cc
+++ b/src/peering/tests/codec_test.cc
@@ -15,6 +15,8 @@
   heartbeat.newest = {.operator_records = 1ULL << 40, .targets = 1ULL << 41};
   for (std::uint64_t i = 0; i < kMaxLoads + 10; ++i) heartbeat.loads.push_back({i << 40, 9});
   heartbeat.contacts.resize(kMaxContacts + 10);
+  heartbeat.contacts.front() = {.address = *base::ParseIpAddress("10.1.2.3"), .port = 7};
+  heartbeat.period = base::Duration::Milliseconds(300);
   return heartbeat;
 }
 
@@ -29,6 +31,24 @@
   REQUIRE(DecodeHeartbeat(bytes) == heartbeat);
 }
 
+TEST_CASE("Relayed heartbeats are encoded without their lists, as many as fit into a datagram") {
+  fleet::Heartbeat heartbeat = MakeOversizedHeartbeat();
+  fleet::Heartbeat relayed = MakeOversizedHeartbeat();
+  relayed.sender.host = "edge-pohjois-pohjanmaa-b-1";
+  heartbeat.relayed.assign(kMaxRelayed + 3, relayed);
+  const std::string bytes = EncodeHeartbeat(heartbeat);
+  REQUIRE(bytes.size() <= kMaxDatagramBytes);
+  relayed.loads.clear();
+  relayed.contacts.clear();
+  const auto decoded = DecodeHeartbeat(bytes);
+  REQUIRE(decoded);
+  REQUIRE(decoded->loads.size() == kMaxLoads);
+  REQUIRE_FALSE(decoded->relayed.empty());
+  REQUIRE(decoded->relayed.front() == relayed);
+  heartbeat.loads.clear();
+  REQUIRE(DecodeHeartbeat(EncodeHeartbeat(heartbeat))->relayed.size() == kMaxRelayed);
+}
+
 TEST_CASE("Datagrams of other protocols and truncated heartbeats are rejected") {
   const std::string bytes = EncodeHeartbeat(MakeOversizedHeartbeat());
   REQUIRE_FALSE(DecodeHeartbeat(""));
