Ask the store at once after a restart, and answer look-ups of a starting host as before

Cause: a host that had restarted waited up to two seconds before it watched the store, and refused callers until another host had given it a configuration.

Change: only the first start of a deployment, which the settings name, delays the watches.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -39,8 +39,10 @@
 /// Targets whose entries expired in an outage of the store register again within two seconds of
 /// its return; the remaining 0.5 s covers the time that their requests take to reach the store.
 constexpr Duration kRecoveryTime = Duration::Milliseconds(2500);
-/// A starting host leaves the store to others for a part of this time that follows from its name:
-/// where many hosts start together, most of them hear in time that others watch the store.
+/// Time that a starting host allows for the first messages from other hosts.
+constexpr Duration kPeerDiscoveryTime = Duration::Milliseconds(1500);
+/// When all hosts start together, a host leaves the store to others for a part of this time that
+/// follows from its name: most of them hear in time that others watch it.
 constexpr Duration kMaxWatchDelay = Duration::Milliseconds(2000);
 constexpr Duration kLookupTtl = Duration::Seconds(2);
 constexpr std::size_t kMaxLookupHosts = 64;
@@ -141,7 +143,6 @@
   void CheckStopped();
   void FlushLog();
   bool IsReady() const { return has_configuration_ && has_targets_ && !is_leaving_; }
-  fleet::HostState StateForCallers() const;
 
   const settings::EdgeSettings& settings() const { return settings_watch_.current(); }
 
@@ -202,9 +203,8 @@
       settings_timer_(context_),
       flush_timer_(context_) {
   const base::Instant now = http1::Now();
-  members_.StartDiscovery(now);
   for (const base::Endpoint& it : PeersOfSeeds(settings)) members_.AddContact(it, now);
-  watch_from_ = members_.HasContacts() ? now + WatchDelayOf(settings.host) : now;
+  watch_from_ = settings.is_first_start ? now + WatchDelayOf(settings.host) : now;
   WaitForSignal();
   ScheduleSettingsCheck();
   host_registration_.Start();
@@ -235,7 +235,11 @@
 
 void EdgeHost::Control::UpdateStoreWatches() {
   const base::Instant now = http1::Now();
-  const bool watches = now >= watch_from_ && members_.ShouldWatchStore(now);
+  // A host that has just started may not have received messages from the others yet. It refuses
+  // callers until it has a configuration, so it asks the store and other hosts at the same time.
+  const bool is_new = now < watch_from_ + kPeerDiscoveryTime;
+  const bool needs_store = (is_new && !has_configuration_) || members_.ShouldWatchStore(now);
+  const bool watches = now >= watch_from_ && needs_store;
   if (watches != store_watches_.is_active()) {
     logging::Log(Level::kInfo, "watches_store", {{"watches", watches}});
   }
@@ -294,17 +298,11 @@
   return platform::ReadinessResponse(control.IsReady());
 }
 
-fleet::HostState EdgeHost::Control::StateForCallers() const {
-  if (is_leaving_) return fleet::HostState::kLeaving;
-  const bool is_serving = IsReady() && !members_.IsDiscovering(http1::Now());
-  return is_serving ? fleet::HostState::kServing : fleet::HostState::kStarting;
-}
-
 http1::Response EdgeHost::Control::ReplyLookup(Control& control, const http1::Request& request) {
   const auto query = platform::ParseResolve(request);
   if (!query) return {.status = 404};
-  const auto hosts = control.members_.Resolve(query->region, control.StateForCallers(),
-                                              kMaxLookupHosts, http1::Now());
+  const auto hosts =
+      control.members_.Resolve(query->region, !control.IsReady(), kMaxLookupHosts, http1::Now());
   return platform::ResolveResponse(hosts,
                                    std::min(kLookupTtl, control.settings().bounds.lookup_ttl));
 }
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -28,9 +28,6 @@
   return std::max(minimum, period * 5 / 2);
 }
 
-/// Time in which a starting host hears of others, if there are any.
-constexpr base::Duration kMinDiscoveryTime = base::Duration::Milliseconds(500);
-
 /// Hosts with lower ranks, that is higher bandwidth, are selected first.
 using WatcherRank = std::pair<std::int64_t, std::uint64_t>;
 
@@ -84,10 +81,6 @@
   member.live_until = now + TimeoutOf(std::min(heartbeat.period, kMaxPeriod), minimum);
   AddContact(heartbeat.sender.peers, now);
   if (member.is_local && !is_same_incarnation) newcomers_.push_back(heartbeat.sender.peers);
-  if (member.is_local && !has_heard_region_) {
-    has_heard_region_ = true;
-    discovery_end_ = std::max(discovery_end_, now + std::min(heartbeat.period, kMaxPeriod));
-  }
   return true;
 }
 
@@ -258,12 +251,8 @@
   return it->second;
 }
 
-void Members::StartDiscovery(base::Instant now) { discovery_end_ = now + kMinDiscoveryTime; }
-
-std::vector<base::Endpoint> Members::Resolve(std::string_view region, HostState state,
+std::vector<base::Endpoint> Members::Resolve(std::string_view region, bool is_leaving,
                                              std::size_t max_count, base::Instant now) const {
-  const bool is_starting = state == HostState::kStarting;
-  if (is_starting && IsDiscovering(now)) return {};
   using RankedAddress = std::pair<std::uint64_t, base::Endpoint>;
   std::vector<RankedAddress> local;
   std::vector<RankedAddress> all;
@@ -272,13 +261,13 @@
     if (RegionOf(record.zone) == region) local.emplace_back(rank, record.callers);
   };
   // Ranked like any other host, so that it is not part of all subsets that it returns itself.
-  if (state == HostState::kServing) add(base::Mix(self_key_), self_);
+  if (!is_leaving) add(base::Mix(self_key_), self_);
   for (const auto& [host, member] : members_) {
     if (!IsLive(member, now) || member.last_heartbeat.is_leaving) continue;
     add(RankOf(member), member.last_heartbeat.sender);
   }
-  std::vector<RankedAddress>& ranked = local.empty() && !is_starting ? all : local;
-  if (ranked.empty() && !is_starting) ranked.emplace_back(0, self_.callers);
+  std::vector<RankedAddress>& ranked = local.empty() ? all : local;
+  if (ranked.empty()) ranked.emplace_back(0, self_.callers);
   if (ranked.size() > max_count) {
     std::nth_element(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(max_count),
                      ranked.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -28,15 +28,6 @@
   base::Duration contact_retention = base::Duration::Seconds(60);
 };
 
-/// What a host can say to callers who look up hosts.
-enum class HostState : std::uint8_t {
-  /// Not ready to serve callers, or does not know the hosts of its region yet.
-  kStarting,
-  kServing,
-  /// Stopping; callers should use others.
-  kLeaving,
-};
-
 class Members {
  public:
   /// `zones` maps each availability zone to its region.
@@ -49,8 +40,6 @@
   /// Addresses of the hosts of this region whose incarnation was first heard of directly since the
   /// last call. A heartbeat in reply saves a host that has just started the wait for the next one.
   std::vector<base::Endpoint> TakeNewcomers() { return std::exchange(newcomers_, {}); }
-  /// Whether there is an address at which another host may be reached.
-  bool HasContacts() const { return !contacts_.empty(); }
   /// Adds or refreshes an address at which a host may be reached.
   void AddContact(const base::Endpoint& address, base::Instant now);
   /// Removes hosts and addresses whose retention time has passed.
@@ -102,18 +91,11 @@
     return RegionOf(record.zone) == RegionOf(self_.zone);
   }
 
-  /// Begins the time in which this host learns which hosts its region has: until the first of them
-  /// that it hears of has sent all others' heartbeats a period later, or until it hears of none.
-  void StartDiscovery(base::Instant now);
-  bool IsDiscovering(base::Instant now) const { return now < discovery_end_; }
-
   /// Caller addresses for callers of a region: the live hosts there that are not stopping, or those
-  /// of all regions if the region has none. This host is included only in the state kServing, or if
-  /// it is stopping and there is no other. A starting host returns no hosts of another region, and
-  /// none at all while it discovers its own: it would move callers, or send all of them to the few
-  /// hosts that it has heard of. Returns at most `max_count` addresses; if there are more, every
-  /// host returns another subset that changes only with the hosts, so that all get callers.
-  std::vector<base::Endpoint> Resolve(std::string_view region, HostState state,
+  /// of all regions if the region has none. This host is excluded if `is_leaving` is set, unless
+  /// there is no other. Returns at least one and at most `max_count` addresses; if there are more,
+  /// every host returns another subset that changes only with the hosts, so that all get callers.
+  std::vector<base::Endpoint> Resolve(std::string_view region, bool is_leaving,
                                       std::size_t max_count, base::Instant now) const;
 
   const HostRecord& self() const { return self_; }
@@ -159,8 +141,6 @@
   MemberTiming timing_;
   /// The other hosts, by name.
   MemberMap members_;
-  base::Instant discovery_end_;
-  bool has_heard_region_ = false;
   std::vector<base::Endpoint> newcomers_;
   /// Name of the member that was last passed on, from which the next turn goes on.
   base::HostId last_relayed_;
--- a/src/settings/edge_settings.h
+++ b/src/settings/edge_settings.h
@@ -56,6 +56,8 @@
   EdgeBounds bounds;
   /// Bandwidth of this host's link, in Mbit/s.
   std::uint32_t link_mbps = 100;
+  /// All hosts of the deployment start together for the first time, well before callers come.
+  bool is_first_start = false;
   /// File descriptors that the process may open.
   std::size_t descriptors = 1024;
   logging::Level log_level = logging::Level::kInfo;
--- a/src/settings/internal/edge_settings.cc
+++ b/src/settings/internal/edge_settings.cc
@@ -112,6 +112,7 @@
       "descriptors", {kMinDescriptors, kMaxDescriptors}, static_cast<std::int64_t>(1024)));
   settings.link_mbps = static_cast<std::uint32_t>(
       NumberOr(reader, "link_mbps", static_cast<double>(settings.link_mbps)));
+  settings.is_first_start = reader.BooleanOr("first_start", false);
   settings.log_level = ReadLogLevel(reader);
   reader.RefuseUnknownFields();
   faults.ThrowIfAny("read settings");
--- a/src/settings/tests/edge_settings_test.cc
+++ b/src/settings/tests/edge_settings_test.cc
@@ -24,6 +24,7 @@
   "store": "10.200.1.7:8642",
   "bounds": {"retry_ratio": "0.2", "retry_window": "10s", "retry_allowance": "56", "stop_time": "6s",
              "lookup_ttl": ""},
+  "first_start": true,
   "descriptors": 4100
 })";
 
@@ -56,6 +57,7 @@
   REQUIRE(settings.bounds.retry_allowance == 56);
   REQUIRE(settings.bounds.lookup_ttl == EdgeBounds().lookup_ttl);
   REQUIRE(settings.descriptors == 4100);
+  REQUIRE(settings.is_first_start);
 }
 
 TEST_CASE("Each fault is reported with its field") {
