Keep no reference into the sent attempts across an outcome in a test

Cause: the property test of targets' signals held an iterator into the harness's vector while OnOutcome may append to it. Change: the test copies what it needs first. It passes under the sanitizers, with the same checks. Also: an include without a use, and the name of a test that said something else than it checks.

--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -2,7 +2,6 @@
 #include "fleet/members.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
--- a/src/fleet/tests/heartbeat_schedule_test.cc
+++ b/src/fleet/tests/heartbeat_schedule_test.cc
@@ -171,7 +171,7 @@
   for (const std::size_t host : {0, 1, 2}) REQUIRE(fleet.CountLiveAt(host) == running);
 }
 
-TEST_CASE("Timeouts are at least two and a half periods at the planned size") {
+TEST_CASE("At the planned size, hosts of the region hear of each other every second") {
   const base::Duration period = PeriodOf(LocalPeriodIntervals(43));
   REQUIRE(period <= base::Duration::Seconds(1));
   REQUIRE(PeriodOf(RemotePeriodIntervals(24)) <= base::Duration::Seconds(4));
--- a/src/steering/tests/target_signals_test.cc
+++ b/src/steering/tests/target_signals_test.cc
@@ -215,13 +215,15 @@
                                      [&, id = id, number = number](const RecordingPort::Sent& it) {
                                        return it.id == id && it.command.number == number;
                                      });
+      // The outcome may make the engine send again, which invalidates `sent`.
+      const bool is_of_first = sent->command.target_id == "t1";
       AttemptOutcome outcome{.result = AttemptResult::kAnswered};
       const std::uint32_t kind = random.Below(8);
       if (kind == 0) outcome = Leaving(AttemptResult::kAnswered);
       if (kind == 1) outcome = Backoff(random.Below(2000));
       const bool is_open = harness.engine.IsOpen(id);
       harness.engine.OnOutcome(id, number, outcome, At(ms + 10));
-      if (!is_open || sent->command.target_id != "t1") continue;
+      if (!is_open || !is_of_first) continue;
       // The outcome of a cancelled attempt is not reported; then the signal is not known either.
       const bool was_cancelled =
           std::find(harness.port.cancelled.begin(), harness.port.cancelled.end(),
