Ask a target in one place whether it leaves, and encode no heartbeat for nobody

Found by reading the whole change: the record's draining mark and the target's own word stood together in two places and are TargetState::IsLeaving() now; TargetSignals::IsHolding had no user; a heartbeat to no receivers was encoded all the same, and a stopping host made two of the same content. Behaviour stays as it is.

--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -69,8 +69,9 @@
 void Gossip::Announce() {
   const fleet::Members::ContactLists contacts = members_.Contacts(http1::Now());
   SendLocally(contacts);
-  SendTo(contacts.remote, RemoteHeartbeat(contacts));
-  SendTo(contacts.unconfirmed, RemoteHeartbeat(contacts));
+  const fleet::Heartbeat heartbeat = RemoteHeartbeat(contacts);
+  SendTo(contacts.remote, heartbeat);
+  SendTo(contacts.unconfirmed, heartbeat);
 }
 
 void Gossip::GreetNewcomers() {
@@ -115,6 +116,7 @@
 }
 
 void Gossip::SendTo(std::span<const base::Endpoint> receivers, const fleet::Heartbeat& heartbeat) {
+  if (receivers.empty()) return;
   const std::string bytes = EncodeHeartbeat(heartbeat);
   for (const base::Endpoint& it : receivers) {
     boost::system::error_code ec;
--- a/src/steering/internal/engine_candidates.inl
+++ b/src/steering/internal/engine_candidates.inl
@@ -14,7 +14,7 @@
   const std::vector<std::string>& regions = exchange.route->allowed_regions;
   Candidates candidates;
   for (const auto& it : exchange.service->targets()) {
-    if (it->record().is_draining || it->signals().is_leaving()) continue;
+    if (it->IsLeaving()) continue;
     if (catalog_->evacuated_zones.contains(it->record().zone)) continue;
     const bool is_allowed =
         regions.empty() || std::find(regions.begin(), regions.end(), it->region()) != regions.end();
--- a/src/steering/internal/service_state.cc
+++ b/src/steering/internal/service_state.cc
@@ -54,7 +54,7 @@
   if (service_time_ms_ == 0) return 0;
   double sum = 0;
   for (const auto& it : targets_) {
-    if (it->record().is_draining || it->signals().is_leaving()) continue;
+    if (it->IsLeaving()) continue;
     const double by_slots = it->slots() * 1e3 / service_time_ms_;
     const TargetLimit& limit = it->limit();
     sum += limit.is_active() ? std::min(by_slots, limit.per_second()) : by_slots;
--- a/src/steering/target_signals.h
+++ b/src/steering/target_signals.h
@@ -17,8 +17,6 @@
   bool is_leaving() const { return is_leaving_; }
   /// The target is sent nothing before that; not later than now if it is not backing off.
   base::Instant backoff_until() const { return backoff_until_; }
-  /// Whether the target is sent nothing now.
-  bool IsHolding(base::Instant now) const { return is_leaving_ || now < backoff_until_; }
   /// How long the signals are remembered when the store no longer lists the target: it may list the
   /// same incarnation again.
   base::Instant keep_until() const { return keep_until_; }
--- a/src/steering/target_state.h
+++ b/src/steering/target_state.h
@@ -69,6 +69,8 @@
   base::Duration ReportAge(base::Instant now) const;
   TargetLimit& limit() { return limit_; }
   const TargetLimit& limit() const { return limit_; }
+  /// The target leaves, by its record or by its own answers, and gets no further requests.
+  bool IsLeaving() const { return record_.is_draining || signals_.is_leaving(); }
   TargetSignals& signals() { return signals_; }
   const TargetSignals& signals() const { return signals_; }
   /// Ejects the target because another incarnation answers at its address.
