Answer every dispatched request of a connection in a planned stop

Cause: a draining ServerConnection marked each response as the last of its connection, so the answer to the first request closed it. The requests behind it were reported as abandoned and cancelled at their targets.

Change: CloseAfterPending() ends a connection for every reason. It reads no further requests and marks the last one that was dispatched; responses are serialized when they are written, so only that one announces the close. The same holds for a handler's response that ends the connection, which dropped requests in the same way.

--- a/src/http1/internal/server.inl
+++ b/src/http1/internal/server.inl
@@ -75,12 +75,12 @@
 }
 
 template <typename Handler>
-void Server<Handler>::Reply(RequestId id, const Response& response) {
+void Server<Handler>::Reply(RequestId id, Response response) {
   const auto entry = pending_.find(id);
   if (entry == pending_.end()) return;
   Connection& connection = *entry->second;
   pending_.erase(entry);
-  connection.Reply(id, response);
+  connection.Reply(id, std::move(response));
 }
 
 template <typename Handler>
@@ -89,6 +89,7 @@
   boost::system::error_code ec;
   acceptor_.close(ec);  // Errors are ignored: the process exits soon after draining.
   accept_timer_.cancel();
+  for (const auto& it : connections_) it->StartDraining();
   CheckConnections();
 }
 
--- a/src/http1/internal/server_connection.h
+++ b/src/http1/internal/server_connection.h
@@ -23,7 +23,10 @@
       : server_(&server), socket_(std::move(socket)) {}
 
   void Start();
-  void Reply(RequestId id, const Response& response);
+  void Reply(RequestId id, Response response);
+  /// Finishes the pending requests and reads no further ones; without pending requests, the
+  /// connection goes on until CheckTimeouts() finds it idle.
+  void StartDraining();
   /// Closes the connection, or rejects the request that is being read, when a time limit is
   /// exceeded.
   void CheckTimeouts(base::Instant now);
@@ -38,10 +41,10 @@
     RequestId id = 0;
     bool is_head = false;
     /// The connection is closed after the response: the caller asked for it, the server is
-    /// draining, or the request was rejected.
+    /// draining, or the request was rejected. Set for the last request of the pipeline at most.
     bool close = false;
-    /// The serialized response; nullopt until the handler has replied.
-    std::optional<std::string> response{};
+    /// nullopt until the handler has replied.
+    std::optional<Response> response{};
   };
 
   void Read();
@@ -59,6 +62,9 @@
   /// Starts writing the oldest response, when it is available and no write is in progress.
   void WriteNext();
   void OnWritten(boost::system::error_code ec, bool close);
+  /// Reads no further requests, and closes the connection after the response to the last one that
+  /// was dispatched. The caller sees that those behind it were not read, and sends them again.
+  void CloseAfterPending();
   /// Starts a lingering close after the last response.
   void ShutDownSending();
   void Close();
--- a/src/http1/internal/server_connection.inl
+++ b/src/http1/internal/server_connection.inl
@@ -105,9 +105,8 @@
 template <typename Handler>
 void ServerConnection<Handler>::Reject(unsigned status) {
   ++server_->counts_.malformed_requests;
-  pipeline_.push_back(
-      {.close = true, .response = Serialize(Response{.status = status}, true, false)});
-  is_discarding_input_ = true;
+  pipeline_.push_back({.response = Response{.status = status}});
+  CloseAfterPending();
   WriteNext();
   Read();
 }
@@ -122,29 +121,41 @@
   }
   Request request = ToRequest(std::move(message));
   const RequestId id = ++server_->last_id_;
-  pipeline_.push_back(
-      {.id = id, .is_head = request.method == "HEAD", .close = !request.keep_alive});
-  if (!request.keep_alive) is_discarding_input_ = true;
+  pipeline_.push_back({.id = id, .is_head = request.method == "HEAD"});
+  if (!request.keep_alive || server_->is_draining_) CloseAfterPending();
   server_->pending_.emplace(id, this);
   server_->handler_.OnRequest(id, std::move(request));
 }
 
 template <typename Handler>
-void ServerConnection<Handler>::Reply(RequestId id, const Response& response) {
+void ServerConnection<Handler>::Reply(RequestId id, Response response) {
   const auto entry = std::find_if(pipeline_.begin(), pipeline_.end(),
                                   [&](const PipelinedRequest& it) { return it.id == id; });
   if (entry == pipeline_.end()) return;
-  entry->close = entry->close || server_->is_draining_ || !response.keep_alive;
-  entry->response = Serialize(response, entry->close, entry->is_head);
+  if (!response.keep_alive) CloseAfterPending();
+  entry->response = std::move(response);
   WriteNext();
 }
 
+template <typename Handler>
+void ServerConnection<Handler>::StartDraining() {
+  if (!pipeline_.empty()) CloseAfterPending();
+}
+
+template <typename Handler>
+void ServerConnection<Handler>::CloseAfterPending() {
+  ResetParser();
+  is_discarding_input_ = true;
+  pipeline_.back().close = true;
+}
+
 template <typename Handler>
 void ServerConnection<Handler>::WriteNext() {
   if (server_ == nullptr || is_writing_ || pipeline_.empty() || !pipeline_.front().response) return;
   is_writing_ = true;
-  const bool close = pipeline_.front().close;
-  write_buffer_ = std::move(*pipeline_.front().response);
+  const PipelinedRequest& next = pipeline_.front();
+  const bool close = next.close;
+  write_buffer_ = Serialize(*next.response, close, next.is_head);
   pipeline_.pop_front();
   WriteAll(socket_, write_buffer_,
            [self = this->shared_from_this(), close](boost::system::error_code ec, std::size_t) {
@@ -172,13 +183,6 @@
 
 template <typename Handler>
 void ServerConnection<Handler>::ShutDownSending() {
-  // Requests after the last response get no response: the close tells the caller that they were not
-  // processed.
-  for (const PipelinedRequest& it : pipeline_) {
-    if (server_->pending_.erase(it.id) > 0) server_->handler_.OnCallerGone(it.id);
-  }
-  pipeline_.clear();
-  is_discarding_input_ = true;
   boost::system::error_code ec;
   socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
   if (ec) {
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -63,10 +63,11 @@
 
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
   /// Sends the response to a request; ignored when the caller has disconnected.
-  void Reply(RequestId id, const Response& response);
+  void Reply(RequestId id, Response response);
 
-  /// Stops accepting connections and closes the idle ones; every further response closes its
-  /// connection.
+  /// Stops accepting connections and closes the idle ones. The others are closed after the response
+  /// to the last request that was dispatched; requests that have not been dispatched by now are
+  /// dispatched only if none is pending on their connection.
   void StartDraining();
   std::size_t connections() const { return connections_.size(); }
   std::size_t pending_requests() const { return pending_.size(); }
--- a/src/http1/tests/server_test.cc
+++ b/src/http1/tests/server_test.cc
@@ -34,6 +34,14 @@
 
 constexpr const char* kGet = "GET /one HTTP/1.1\r\nHost: h\r\n\r\n";
 
+std::size_t CountOf(std::string_view text, std::string_view part) {
+  std::size_t n = 0;
+  for (std::size_t at = text.find(part); at != std::string_view::npos; ++n) {
+    at = text.find(part, at + part.size());
+  }
+  return n;
+}
+
 }  // namespace
 
 TEST_CASE(
@@ -134,6 +142,58 @@
   REQUIRE(busy.Received().ends_with("done"));
 }
 
+// Guards against a planned stop that drops requests that are with a target: the answer to the first
+// of several requests on a connection closed it.
+TEST_CASE("A draining server answers every request that it has dispatched before it closes") {
+  const std::vector<std::vector<RequestId>> reply_orders = {{1, 2, 3}, {3, 2, 1}, {2, 1, 3}};
+  for (const auto& reply_order : reply_orders) {
+    Fixture fixture;
+    LoopbackSocket caller(fixture.server.port());
+    caller.Send(std::string(kGet) + kGet + kGet);
+    REQUIRE(fixture.RunUntil([&] { return fixture.recorder.requests.size() == 3; }));
+    // This response is ready before the server drains, and waits for the first one.
+    if (reply_order.front() != 1) fixture.server.Reply(reply_order.front(), {.body = "early"});
+    fixture.server.StartDraining();
+    for (const RequestId id : reply_order) fixture.server.Reply(id, {.body = "late"});
+    REQUIRE(fixture.RunUntil([&] { return caller.IsClosed(); }));
+    INFO(caller.Received());
+    REQUIRE(CountOf(caller.Received(), "HTTP/1.1 200") == 3);
+    REQUIRE(CountOf(caller.Received(), "Connection: close\r\n") == 1);
+    REQUIRE(caller.Received().rfind("Connection: close") > caller.Received().rfind("HTTP/1.1"));
+    REQUIRE(fixture.recorder.gone.empty());
+  }
+}
+
+TEST_CASE("A draining server dispatches no request behind those that are pending") {
+  Fixture fixture;
+  LoopbackSocket caller(fixture.server.port());
+  caller.Send(std::string(kGet) + "GET /half HTTP/1.1\r\n");
+  REQUIRE(fixture.RunUntil([&] { return fixture.recorder.requests.size() == 1; }));
+  fixture.server.StartDraining();
+  caller.Send(std::string("Host: h\r\n\r\n") + kGet);
+  RunBriefly(fixture.context);
+  REQUIRE(fixture.recorder.requests.size() == 1);
+  fixture.server.Reply(1, {.body = "last"});
+  REQUIRE(fixture.RunUntil([&] { return caller.IsClosed(); }));
+  REQUIRE(caller.Received().find("Connection: close\r\n") != std::string::npos);
+  REQUIRE(caller.Received().ends_with("last"));
+}
+
+// Guards against the same loss without a stop: a handler that ends the connection with its response
+// dropped the requests behind that one.
+TEST_CASE("A response that ends the connection is not sent before those to dispatched requests") {
+  Fixture fixture;
+  LoopbackSocket caller(fixture.server.port());
+  caller.Send(std::string(kGet) + kGet);
+  REQUIRE(fixture.RunUntil([&] { return fixture.recorder.requests.size() == 2; }));
+  fixture.server.Reply(1, {.body = "first", .keep_alive = false});
+  fixture.server.Reply(2, {.body = "second"});
+  REQUIRE(fixture.RunUntil([&] { return caller.IsClosed(); }));
+  REQUIRE(caller.Received().find("first") != std::string::npos);
+  REQUIRE(caller.Received().ends_with("second"));
+  REQUIRE(fixture.recorder.gone.empty());
+}
+
 TEST_CASE("The response to HEAD has the length but no body; 100-continue is answered") {
   Fixture fixture;
   LoopbackSocket caller(fixture.server.port());
