Take only a long interruption of the store's answers for an outage

Cause: PrefixFeed reported any failed call, also a cut watch, as an outage of the store, and the registry keeps what is removed in the 2.5 s after an outage, since leases of live targets may have expired in it.

The log did not show it: it said target_removed for targets that were kept.

Change: an entry expires after three intervals without a renewal, so none can expire in less than two intervals (target_heartbeat, 1.5 s each). discovery::StoreOutage ignores shorter interruptions. They are measured from the last sign of the store: a watch that the store ends shows that it was reachable until then, and a connection on which the kernel's probes stay unanswered was alive two seconds before. The mark of a listing as "after an outage" is gone; the registry knows.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -60,6 +60,15 @@
 /// targets, the store and files.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
 
+/// An entry expires after three intervals without a renewal, and the last renewal before an outage
+/// was up to one interval old.
+constexpr std::int64_t kMinOutageIntervals = 2;
+
+discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds) {
+  return {.min_outage = bounds.target_heartbeat * kMinOutageIntervals,
+          .recovery_time = kRecoveryTime};
+}
+
 steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds) {
   return {.ratio = bounds.retry_ratio,
           .allowance = bounds.retry_allowance,
@@ -179,7 +188,7 @@
                            logging::BoundedOutput& log)
     : settings_watch_(std::move(settings_path), settings),
       log_(log),
-      registry_(kRecoveryTime),
+      registry_(OutageTimingOf(settings.bounds)),
       members_({.host = settings.host,
                 .zone = settings.zone,
                 .callers = settings.listen.callers,
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -58,16 +58,19 @@
   AdvanceNewest({.targets = revision});
   const auto it = targets_.find(id);
   if (it == targets_.end() || revision <= it->second.revision) return;
-  const bool is_recovering =
-      outage_end_ != base::Instant::Never() && now - outage_end_ < recovery_time_;
-  if (is_recovering && !it->second.target.is_draining) {
+  if (const auto keep_until = KeepUntil(it->second, now)) {
     it->second.revision = revision;
-    it->second.keep_until = outage_end_ + recovery_time_;
+    it->second.keep_until = *keep_until;
     return;
   }
   Erase(it, revision);
 }
 
+std::optional<base::Instant> Registry::KeepUntil(const Entry& entry, base::Instant now) const {
+  const bool is_kept = IsRecovering(now) && !entry.target.is_draining;
+  return is_kept ? outage_.recovery_end() : std::nullopt;
+}
+
 void Registry::PutConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
                                 StoreRevision revision) {
   AdvanceOperatorRecords(revision);
@@ -128,7 +131,7 @@
 }
 
 void Registry::ReplaceTargets(std::span<const catalog::Target> targets, StoreRevision revision,
-                              bool is_after_outage, base::Instant now) {
+                              base::Instant now) {
   if (revision < targets_revision_) return;
   std::set<std::string_view> listed;
   for (const catalog::Target& it : targets) {
@@ -139,8 +142,8 @@
     Entry& entry = it->second;
     if (listed.contains(it->first) || entry.revision > revision) {
       ++it;
-    } else if (is_after_outage && !entry.target.is_draining) {
-      if (entry.keep_until == base::Instant::Never()) entry.keep_until = now + recovery_time_;
+    } else if (const auto keep_until = KeepUntil(entry, now)) {
+      entry.keep_until = *keep_until;
       ++it;
     } else {
       it = Erase(it, revision);
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,6 +16,7 @@
 #include "base/instant.h"
 #include "catalog/catalog.h"
 #include "catalog/store_position.h"
+#include "discovery/store_outage.h"
 
 namespace mangonotch::discovery {
 
@@ -53,20 +55,20 @@
 
 class Registry {
  public:
-  /// `recovery_time`: how long entries missing after a store outage are kept, so that live targets
-  /// can register again.
-  explicit Registry(base::Duration recovery_time) : recovery_time_(recovery_time) {}
+  explicit Registry(const OutageTiming& timing) : outage_(timing) {}
 
   // Call these in the order of the revisions. A target change that is not newer than the known one,
   // a configuration without a higher version and an evacuation older than the applied operator
   // records are ignored.
 
   void PutTarget(const catalog::Target& target, StoreRevision revision);
-  /// An entry that is removed within the recovery time after a store outage without having been
-  /// draining is kept until the end of that time: its lease may have expired during the outage.
+  /// A target that is removed during the recovery from a store outage without having been draining
+  /// is kept until the end of the recovery: its lease may have expired in the outage.
   void RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now);
-  /// Reports that the store responds again after an outage.
-  void OnOutageEnd(base::Instant now) { outage_end_ = now; }
+  /// Forwards to StoreOutage::OnRegained.
+  void OnStoreRegained(base::Instant lost_at, base::Instant now) {
+    outage_.OnRegained(lost_at, now);
+  }
   void PutConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
                         StoreRevision revision);
   void PutEvacuation(std::string_view zone, bool is_evacuated, StoreRevision revision,
@@ -78,10 +80,10 @@
   /// the listing.
   void AdvanceNewest(const StorePosition& newest) { newest_ = catalog::Latest(newest_, newest); }
 
-  /// Replaces the targets by a full listing at `revision`. With `is_after_outage`, targets missing
-  /// from the listing that were not draining are kept for the recovery time.
+  /// Replaces the targets by a full listing at `revision`. Those missing from the listing are
+  /// removed as by RemoveTarget.
   void ReplaceTargets(std::span<const catalog::Target> targets, StoreRevision revision,
-                      bool is_after_outage, base::Instant now);
+                      base::Instant now);
   /// Replaces the operator records (the configuration and the zone evacuations) by a full listing
   /// at `revision`.
   void ReplaceOperatorRecords(std::shared_ptr<const catalog::Configuration> configuration,
@@ -103,6 +105,11 @@
   /// The newest changes that have been applied; never after `applied()`, which also advances while
   /// nothing changes. Other hosts that have applied less are behind this one.
   const StorePosition& newest() const { return newest_; }
+  /// A target that the store removes now is kept for a while; see RemoveTarget.
+  bool IsRecovering(base::Instant now) const {
+    const auto end = outage_.recovery_end();
+    return end && now < *end;
+  }
 
   /// Removes entries whose recovery time has expired. Returns the time of the next expiry, Never()
   /// if there is none.
@@ -116,7 +123,8 @@
     StoreRevision revision = 0;
     /// Sequence number of the last change of this entry.
     std::uint64_t sequence = 0;
-    /// Set for an entry that is kept for the recovery time after a store outage.
+    /// Set for an entry that the store has removed and that is kept until the end of the recovery
+    /// from an outage.
     base::Instant keep_until = base::Instant::Never();
   };
 
@@ -128,14 +136,15 @@
   /// Revision of the target's latest recorded removal, 0 if there is none. Older records of the
   /// target, which partitioned hosts may still send, must not add it again.
   StoreRevision LastRemovalRevision(std::string_view id) const;
+  /// The end of the recovery for an entry that is to be kept until then; nullopt for one that is to
+  /// be removed at once.
+  std::optional<base::Instant> KeepUntil(const Entry& entry, base::Instant now) const;
   /// Removes the entry, records the removal and returns the next entry.
   Entries::iterator Erase(Entries::iterator it, StoreRevision revision);
   void SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now);
   base::Duration ColdTimeOf(std::string_view service) const;
 
-  base::Duration recovery_time_;
-  /// End of the last outage of the store; Never() before the first.
-  base::Instant outage_end_ = base::Instant::Never();
+  StoreOutage outage_;
   StoreRevision targets_revision_ = 0;
   StoreRevision operator_revision_ = 0;
   StorePosition newest_;
--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -35,12 +35,13 @@
   return ids;
 }
 
-constexpr base::Duration kRecovery = base::Duration::Milliseconds(2500);
+constexpr OutageTiming kTiming = {.min_outage = base::Duration::Seconds(3),
+                                  .recovery_time = base::Duration::Milliseconds(2500)};
 
 }  // namespace
 
 TEST_CASE("Records that change nothing produce no new catalog") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 5);
   REQUIRE(registry.TakeUpdatedCatalog() != nullptr);
   registry.PutTarget(MakeTarget("t1"), 6);
@@ -48,7 +49,7 @@
 }
 
 TEST_CASE("Older records neither undo the draining of a target nor remove it") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1", true), 9);
   registry.PutTarget(MakeTarget("t1", false), 8);
   REQUIRE(registry.TakeUpdatedCatalog()->targets.at(0).is_draining);
@@ -57,11 +58,11 @@
 }
 
 TEST_CASE("A host that has listed the targets is not behind one that has read their changes") {
-  Registry lister(kRecovery);
+  Registry lister(kTiming);
   const std::vector<catalog::Target> targets = {MakeTarget("t1")};
-  lister.ReplaceTargets(targets, 100, false, At(0));
+  lister.ReplaceTargets(targets, 100, At(0));
   lister.AdvanceNewest({.targets = 90});
-  Registry watcher(kRecovery);
+  Registry watcher(kTiming);
   watcher.PutTarget(MakeTarget("t1"), 90);
   watcher.RemoveTarget("t2", 95, At(0));
   watcher.AdvanceTargets(95);
@@ -70,11 +71,11 @@
 }
 
 TEST_CASE("A host that has merged the changes of another is not behind it") {
-  Registry source(kRecovery);
+  Registry source(kTiming);
   source.PutConfiguration(MakeConfiguration(7), 100);
   source.PutTarget(MakeTarget("t1"), 101);
   source.AdvanceTargets(101);
-  Registry follower(kRecovery);
+  Registry follower(kTiming);
   REQUIRE(catalog::IsBehind(follower.applied(), source.newest()));
   follower.Merge(source.ChangesSince(0), At(0));
   REQUIRE_FALSE(catalog::IsBehind(follower.applied(), source.newest()));
@@ -82,7 +83,7 @@
 }
 
 TEST_CASE("An evacuation that is read again after its end does not return, nor make targets cold") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
   registry.ReplaceOperatorRecords(MakeConfiguration(1), {}, 100, At(0));
   registry.TakeUpdatedCatalog();
@@ -92,14 +93,14 @@
 }
 
 TEST_CASE("Operator records that were written together are all applied") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutEvacuation("a1", true, 50, At(0));
   registry.PutEvacuation("a2", true, 50, At(0));
   REQUIRE(registry.TakeUpdatedCatalog()->evacuated_zones.size() == 2);
 }
 
 TEST_CASE("A configuration never reverts to an older version") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutConfiguration(MakeConfiguration(7), 100);
   registry.PutConfiguration(MakeConfiguration(5), 101);
   registry.ReplaceOperatorRecords(MakeConfiguration(6), {}, 102, At(0));
@@ -107,12 +108,13 @@
 }
 
 TEST_CASE("Entries that expired during an outage are kept for the recovery time") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutTarget(MakeTarget("back"), 1);
   registry.PutTarget(MakeTarget("gone"), 1);
   registry.PutTarget(MakeTarget("left", true), 1);
   registry.TakeUpdatedCatalog();
-  registry.ReplaceTargets({}, 10, true, At(0));
+  registry.OnStoreRegained(At(-4000), At(0));
+  registry.ReplaceTargets({}, 10, At(0));
   REQUIRE(IdsOf(*registry.TakeUpdatedCatalog()) == std::vector<std::string>{"back", "gone"});
   registry.PutTarget(MakeTarget("back"), 11);
   REQUIRE(registry.Expire(At(100)) == At(2500));
@@ -121,24 +123,47 @@
 }
 
 TEST_CASE("A removal shortly after an outage takes effect after the recovery time") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
-  registry.OnOutageEnd(At(0));
+  registry.OnStoreRegained(At(-4000), At(0));
   registry.RemoveTarget("t1", 2, At(100));
   REQUIRE(registry.TakeUpdatedCatalog()->targets.size() == 1);
   registry.Expire(At(2600));
   REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
 }
 
+// Guards against requests to a target that has left: a cut watch or a single refused call was taken
+// for an outage (review, case 5).
+TEST_CASE("A removal after an interruption too short for an expiry takes effect immediately") {
+  Registry registry(kTiming);
+  registry.PutTarget(MakeTarget("t1"), 1);
+  registry.PutTarget(MakeTarget("t2"), 1);
+  registry.OnStoreRegained(At(-400), At(0));
+  registry.RemoveTarget("t1", 2, At(100));
+  REQUIRE(IdsOf(*registry.TakeUpdatedCatalog()) == std::vector<std::string>{"t2"});
+  registry.ReplaceTargets({}, 10, At(200));
+  REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
+}
+
+TEST_CASE("A short interruption does not end the recovery from an outage before it") {
+  Registry registry(kTiming);
+  registry.PutTarget(MakeTarget("t1"), 1);
+  registry.OnStoreRegained(At(-4000), At(0));
+  registry.OnStoreRegained(At(500), At(900));
+  registry.RemoveTarget("t1", 2, At(1000));
+  REQUIRE(registry.TakeUpdatedCatalog()->targets.size() == 1);
+  REQUIRE(registry.Expire(At(1100)) == At(2500));
+}
+
 TEST_CASE("A removal without a preceding outage takes effect immediately") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
   registry.RemoveTarget("t1", 2, At(100));
   REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
 }
 
 TEST_CASE("Targets are treated as cold when the evacuation of their zone ends") {
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutConfiguration(MakeConfiguration(1), 1);
   registry.PutTarget(MakeTarget("t1"), 2);
   registry.PutEvacuation("a1", true, 3, At(0));
@@ -150,8 +175,8 @@
 }
 
 TEST_CASE("Merging incremental changes reproduces the catalog of the sender") {
-  Registry source(kRecovery);
-  Registry copy(kRecovery);
+  Registry source(kTiming);
+  Registry copy(kTiming);
   source.PutConfiguration(MakeConfiguration(3), 1);
   source.PutTarget(MakeTarget("t1"), 2);
   source.PutTarget(MakeTarget("t2"), 2);
@@ -173,10 +198,10 @@
 }
 
 TEST_CASE("A full copy removes targets unknown to the sender except newer ones") {
-  Registry source(kRecovery);
+  Registry source(kTiming);
   source.PutTarget(MakeTarget("t1"), 5);
   source.AdvanceTargets(5);
-  Registry copy(kRecovery);
+  Registry copy(kTiming);
   copy.PutTarget(MakeTarget("old"), 4);
   copy.PutTarget(MakeTarget("newer"), 6);
   copy.Merge(source.ChangesSince(0), At(0));
@@ -187,10 +212,10 @@
 // listed the target, and merging its changes added it again (DRAIN on gyaszvarro-grown, mix, seed
 // 669496282935).
 TEST_CASE("Changes of an out-of-date host do not add a removed target again") {
-  Registry outdated(kRecovery);
+  Registry outdated(kTiming);
   outdated.PutTarget(MakeTarget("left"), 5);
   outdated.AdvanceTargets(5);
-  Registry registry(kRecovery);
+  Registry registry(kTiming);
   registry.PutTarget(MakeTarget("left"), 5);
   registry.RemoveTarget("left", 9, At(0));
   registry.Merge(outdated.ChangesSince(0), At(10));
@@ -200,7 +225,7 @@
 }
 
 TEST_CASE("A host that missed more removals than are recorded gets a full copy") {
-  Registry source(kRecovery);
+  Registry source(kTiming);
   source.PutTarget(MakeTarget("first"), 1);
   const std::uint64_t seen = source.sequence();
   for (StoreRevision revision = 2; revision < 1300; revision += 2) {
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -35,6 +35,8 @@
   /// Cause of an error, for logs; a string literal.
   std::string_view detail{};
   Response response{};
+  /// When the server was last known to be reachable; the lowest instant if it was never connected.
+  base::Instant last_contact{};
 };
 
 struct ClientLimits {
@@ -126,6 +128,8 @@
   std::uint32_t discarded_responses_ = 0;
   base::Instant usable_until_ = base::Instant::Never();
   base::Instant idle_since_;
+  /// See ExchangeResult.
+  base::Instant last_contact_;
 };
 
 }  // namespace mangonotch::http1
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -23,6 +23,9 @@
 /// the kernel accepts.
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kMaxUnansweredProbes = 1;
+/// At most this long after the last sign of the server, the kernel reports its silence.
+constexpr base::Duration kSilenceTime =
+    base::Duration::Seconds(kProbeIntervalSeconds * (1 + kMaxUnansweredProbes));
 template <int kName>
 using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
 using UserTimeout = TcpOption<TCP_USER_TIMEOUT>;
@@ -84,6 +87,7 @@
     return;
   }
   is_connected_ = true;
+  last_contact_ = Now();
   SetSocketOptions();
   Write();
 }
@@ -136,6 +140,8 @@
 }
 
 void ClientConnection::OnRead(boost::system::error_code ec, std::size_t n) {
+  // The server or its machine has closed the connection, unless the kernel has given up waiting.
+  last_contact_ = ec == boost::asio::error::timed_out ? Now() - kSilenceTime : Now();
   if (!is_busy_) {
     OnIdleRead();
     return;
@@ -236,13 +242,17 @@
   is_busy_ = false;
   ReleaseBody();
   const Done done = std::exchange(done_, nullptr);
-  done({.error = ExchangeError::kNone, .detail = {}, .response = std::move(response)});
+  done({.response = std::move(response), .last_contact = last_contact_});
 }
 
 void ClientConnection::Finish(ExchangeError error, std::string_view detail, Response response) {
   const Done done = std::exchange(done_, nullptr);
   Close();
-  if (done) done({.error = error, .detail = detail, .response = std::move(response)});
+  if (!done) return;
+  done({.error = error,
+        .detail = detail,
+        .response = std::move(response),
+        .last_contact = last_contact_});
 }
 
 void ClientConnection::Close() {
--- a/src/peering/tests/gossip_test.cc
+++ b/src/peering/tests/gossip_test.cc
@@ -51,7 +51,7 @@
       : is_fresh(watches_store),
         members({.host = name, .zone = zone, .callers = {}, .peers = http1::LoopbackAt(FreePort())},
                 {{"a1", "A"}, {"b1", "B"}}, {}),
-        registry(Duration::Seconds(2)),
+        registry({.min_outage = Duration::Seconds(3), .recovery_time = Duration::Seconds(2)}),
         gossip(context, members, registry, base::Hash(name),
                {.fill_heartbeat =
                     [this](fleet::Heartbeat& heartbeat) {
--- a/src/settings/edge_settings.h
+++ b/src/settings/edge_settings.h
@@ -28,7 +28,8 @@
   bool operator==(const EdgeListen&) const = default;
 };
 
-/// Limits on retries, on the time to stop and on the caching of lookup responses.
+/// Limits on retries, on the time to stop and on the caching of lookup responses, and the pace at
+/// which targets report.
 struct EdgeBounds {
   /// Retries that a service may use per request, averaged over `retry_window`.
   double retry_ratio = 0.1;
@@ -39,6 +40,9 @@
   base::Duration stop_time = base::Duration::Seconds(6);
   /// Longest time that callers may cache a lookup response.
   base::Duration lookup_ttl = base::Duration::Seconds(5);
+  /// Interval at which targets renew their entries in the store. An entry expires after three
+  /// intervals without a renewal.
+  base::Duration target_heartbeat = base::Duration::Milliseconds(1500);
 
   bool operator==(const EdgeBounds&) const = default;
 };
--- a/src/settings/internal/edge_settings.cc
+++ b/src/settings/internal/edge_settings.cc
@@ -67,6 +67,7 @@
       static_cast<std::uint32_t>(NumberOr(reader, "retry_allowance", defaults.retry_allowance));
   bounds.stop_time = DurationOr(reader, "stop_time", defaults.stop_time);
   bounds.lookup_ttl = DurationOr(reader, "lookup_ttl", defaults.lookup_ttl);
+  bounds.target_heartbeat = DurationOr(reader, "target_heartbeat", defaults.target_heartbeat);
   reader.RefuseUnknownFields();
   return bounds;
 }
