Ask the other hosts whether the store was away

Cause: a host that has been cut off for longer than two of the targets' heartbeats cannot tell its own cut from an outage of the store, in which leases of live targets expire. It kept what was removed for 2.5 s.

Change: heartbeats say for how long the store has served their sender. A host that comes back looks at what others say after its return: if the store has served one of them all the while, there was no outage, and what it kept is removed; if it served one earlier, the recovery began then. The heartbeat's size stays, since its period is encoded in four bytes as well.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -143,6 +143,10 @@
   /// The changes of another host have been merged.
   void OnMerged(const fleet::CatalogRequest& request);
   void ExchangeLoads();
+  /// How long the store has served this host, for heartbeats; see fleet::Heartbeat.
+  Duration StoreServiceTime() const;
+  /// Removes targets that were kept for an outage of the store which other hosts have not seen.
+  void ReviewOutage();
   /// Starts or stops watching the store, depending on whether this host has to.
   void UpdateStoreWatches();
   void WaitForSignal();
@@ -231,17 +235,37 @@
                 heartbeat.is_leaving = is_leaving_;
                 heartbeat.watches_store = store_watches_.is_active();
                 heartbeat.has_fresh_catalog = store_watches_.is_fresh();
+                heartbeat.store_service_time = StoreServiceTime();
                 heartbeat.loads = own_loads_;
               },
           .on_interval =
               [this] {
                 ExchangeLoads();
+                ReviewOutage();
                 UpdateStoreWatches();
               },
           .on_merged = [this](const fleet::CatalogRequest& request) { OnMerged(request); },
           .has_fresh_catalog = [this] { return store_watches_.is_fresh(); }};
 }
 
+Duration EdgeHost::Control::StoreServiceTime() const {
+  if (!store_watches_.is_fresh()) return {};
+  const base::Instant regained_at = registry_.outage().regained_at().value_or(base::Instant());
+  return http1::Now() - std::max(store_watches_.answered_since(), regained_at);
+}
+
+void EdgeHost::Control::ReviewOutage() {
+  const base::Instant now = http1::Now();
+  if (!registry_.IsRecovering(now)) return;
+  const base::Instant since = members_.StoreServedSince(*registry_.outage().regained_at(), now);
+  if (since == base::Instant::Never()) return;
+  registry_.OnStoreServedElsewhere(since);
+  logging::Log(Level::kInfo, "outage_reviewed",
+               {{"served_elsewhere_ms", (now - since).milliseconds()},
+                {"recovering", registry_.IsRecovering(now)}});
+  PublishCatalog();
+}
+
 void EdgeHost::Control::UpdateStoreWatches() {
   const base::Instant now = http1::Now();
   // A host that has just started may not have received messages from the others yet. It refuses
--- a/src/app/internal/store_watches.h
+++ b/src/app/internal/store_watches.h
@@ -21,6 +21,9 @@
   bool is_active() const { return targets_feed_.is_active(); }
   /// Both watches are active, and the last call of each was answered.
   bool is_fresh() const { return targets_feed_.is_fresh() && operator_records_feed_.is_fresh(); }
+  /// When the store answered the first call for targets since the watches were last started;
+  /// Never() before.
+  base::Instant answered_since() const { return targets_feed_.answered_since(); }
   /// Another host knows changes up to `newest`: a watch that should have delivered them is renewed.
   void OnChangeMissed(const catalog::StorePosition& newest);
 
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -71,6 +71,15 @@
   return is_kept ? outage_.recovery_end() : std::nullopt;
 }
 
+void Registry::OnStoreServedElsewhere(base::Instant since) {
+  outage_.OnServedElsewhere(since);
+  // Without an outage, what the store has removed is gone.
+  const base::Instant end = outage_.recovery_end().value_or(base::Instant());
+  for (auto& [id, entry] : targets_) {
+    if (entry.keep_until != base::Instant::Never()) entry.keep_until = end;
+  }
+}
+
 void Registry::PutConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
                                 StoreRevision revision) {
   AdvanceOperatorRecords(revision);
--- a/src/discovery/internal/store_outage.cc
+++ b/src/discovery/internal/store_outage.cc
@@ -1,17 +1,29 @@
 // Length of an interruption, and the end of the recovery after it.
 #include "discovery/store_outage.h"
 
+#include <algorithm>
+
 namespace mangonotch::discovery {
 
 void StoreOutage::OnRegained(base::Instant lost_at, base::Instant now) {
   // A short interruption does not end the recovery from an outage before it.
   if (now - lost_at < timing_.min_outage) return;
-  regained_at_ = now;
+  last_ = {.lost_at = lost_at, .regained_at = now, .served_since = now};
+}
+
+void StoreOutage::OnServedElsewhere(base::Instant since) {
+  if (last_) last_->served_since = std::min(last_->served_since, since);
 }
 
 std::optional<base::Instant> StoreOutage::recovery_end() const {
-  if (!regained_at_) return std::nullopt;
-  return *regained_at_ + timing_.recovery_time;
+  if (!last_) return std::nullopt;
+  if (last_->served_since - last_->lost_at < timing_.min_outage) return std::nullopt;
+  return last_->served_since + timing_.recovery_time;
+}
+
+std::optional<base::Instant> StoreOutage::regained_at() const {
+  if (!last_) return std::nullopt;
+  return last_->regained_at;
 }
 
 }  // namespace mangonotch::discovery
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -105,6 +105,10 @@
   /// The newest changes that have been applied; never after `applied()`, which also advances while
   /// nothing changes. Other hosts that have applied less are behind this one.
   const StorePosition& newest() const { return newest_; }
+  const StoreOutage& outage() const { return outage_; }
+  /// Forwards to StoreOutage::OnServedElsewhere. Targets that are kept by mistake are removed by
+  /// the next call of Expire.
+  void OnStoreServedElsewhere(base::Instant since);
   /// A target that the store removes now is kept for a while; see RemoveTarget.
   bool IsRecovering(base::Instant now) const {
     const auto end = outage_.recovery_end();
--- a/src/discovery/store_outage.h
+++ b/src/discovery/store_outage.h
@@ -1,6 +1,7 @@
 // Decides whether entries that the store has removed may have expired in an outage of the store
 // although their targets live. A host sees only that its own calls fail. The fault may as well be
-// with its own link or with one connection, while the store and the targets are well.
+// with its own link or with one connection, while the store and the targets are well. The other
+// hosts know whether the store has served them meanwhile.
 #pragma once
 
 #include <optional>
@@ -23,14 +24,29 @@
   /// The store answers this host again; before, it was last known to be reachable at `lost_at`.
   void OnRegained(base::Instant lost_at, base::Instant now);
 
+  /// The store has served another host since `since` without an interruption that may have been an
+  /// outage, so that an outage ended before that. Call it only with what that host has said after
+  /// `regained_at()`.
+  void OnServedElsewhere(base::Instant since);
+
   /// Until then, a target without an entry may be a live one that has not registered again. nullopt
   /// if no outage has been seen.
   std::optional<base::Instant> recovery_end() const;
+  /// End of the last interruption of this host's calls that may have been an outage; nullopt before
+  /// the first.
+  std::optional<base::Instant> regained_at() const;
 
  private:
+  struct Interruption {
+    base::Instant lost_at;
+    base::Instant regained_at;
+    /// The earliest instant since which the store has served any host; at most `regained_at`.
+    base::Instant served_since;
+  };
+
   OutageTiming timing_;
-  /// End of the last interruption of this host's calls that may have been an outage.
-  std::optional<base::Instant> regained_at_;
+  /// The last one that was long enough for an outage.
+  std::optional<Interruption> last_;
 };
 
 }  // namespace mangonotch::discovery
--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -145,6 +145,34 @@
   REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
 }
 
+// Guards against requests to a target that has left: a host that had been cut off took its own cut
+// for an outage of the store (review, case 5, the day).
+TEST_CASE("A removal after an interruption that other hosts have not seen takes effect at once") {
+  Registry registry(kTiming);
+  registry.PutTarget(MakeTarget("t1"), 1);
+  registry.PutTarget(MakeTarget("t2"), 1);
+  registry.OnStoreRegained(At(-4000), At(0));
+  registry.RemoveTarget("t1", 2, At(10));
+  REQUIRE(IdsOf(*registry.TakeUpdatedCatalog()) == std::vector<std::string>{"t1", "t2"});
+  registry.OnStoreServedElsewhere(At(-60'000));
+  registry.Expire(At(200));
+  REQUIRE(IdsOf(*registry.TakeUpdatedCatalog()) == std::vector<std::string>{"t2"});
+  registry.RemoveTarget("t2", 3, At(300));
+  REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
+}
+
+TEST_CASE("The recovery begins when the store serves the first host after the outage") {
+  Registry registry(kTiming);
+  registry.PutTarget(MakeTarget("t1"), 1);
+  registry.OnStoreRegained(At(-9000), At(0));
+  registry.RemoveTarget("t1", 2, At(10));
+  registry.OnStoreServedElsewhere(At(-1000));
+  REQUIRE(registry.Expire(At(200)) == At(1500));
+  REQUIRE(registry.TakeUpdatedCatalog()->targets.size() == 1);
+  registry.OnStoreServedElsewhere(At(-500));
+  REQUIRE(registry.Expire(At(300)) == At(1500));
+}
+
 TEST_CASE("A short interruption does not end the recovery from an outage before it") {
   Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
--- a/src/fleet/heartbeat.h
+++ b/src/fleet/heartbeat.h
@@ -48,6 +48,10 @@
   bool watches_store = false;
   /// The sender's own store watches are up to date.
   bool has_fresh_catalog = false;
+  /// For how long the store has served the sender without an interruption that may have been an
+  /// outage; zero if `has_fresh_catalog` is not set. Not an instant, since the clocks of hosts
+  /// differ.
+  base::Duration store_service_time{};
   /// Increases with each change of the sender's catalog; restarts with each incarnation.
   std::uint64_t catalog_sequence = 0;
   /// Newest changes of the store in the sender's catalog. Unlike `catalog_sequence`, it can be
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -212,6 +212,17 @@
   return fresh_count < kWatchersPerRegion && watching_count < kMaxActiveWatchersPerRegion;
 }
 
+base::Instant Members::StoreServedSince(base::Instant heard_after, base::Instant now) const {
+  base::Instant since = base::Instant::Never();
+  for (const auto& [host, member] : members_) {
+    const base::Duration service_time = member.last_heartbeat.store_service_time;
+    if (!IsLive(member, now) || member.received_at <= heard_after) continue;
+    // The time on the way makes the instant later than it was, which claims less.
+    if (service_time > base::Duration()) since = std::min(since, member.received_at - service_time);
+  }
+  return since;
+}
+
 template <typename Condition>
 const Heartbeat* Members::FindNearest(base::Incarnation avoided, base::Instant now,
                                       Condition condition) const {
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -78,6 +78,10 @@
   /// these cannot reach the store. A watcher sends each change to the whole region, so a watcher on
   /// a slow link would delay all hosts there.
   bool ShouldWatchStore(base::Instant now) const;
+  /// Since when the store has served another host without an interruption that may have been an
+  /// outage, from heartbeats received after `heard_after`: the earliest such instant. Never() if no
+  /// live host says so.
+  base::Instant StoreServedSince(base::Instant heard_after, base::Instant now) const;
   /// The last heartbeat of a live host with a fresh catalog, preferably of this region; null if
   /// there is none. `avoided` is returned only if there is no other.
   const Heartbeat* FindCatalogSource(base::Incarnation avoided, base::Instant now) const;
--- a/src/fleet/tests/members_test.cc
+++ b/src/fleet/tests/members_test.cc
@@ -85,6 +85,25 @@
   REQUIRE(members.PeerLoads(At(10'000)).empty());
 }
 
+// Guards against a host that believes in an outage of the store that was a fault of its own link,
+// or that believes what was said before the outage.
+TEST_CASE("The store has served another host since the earliest instant that was heard recently") {
+  Members members = MakeMembers(Self());
+  REQUIRE(members.StoreServedSince(At(0), At(10)) == base::Instant::Never());
+  Heartbeat heartbeat = MakeHeartbeat(Near());
+  heartbeat.store_service_time = base::Duration::Seconds(9);
+  members.OnHeartbeat(heartbeat, At(10'000));
+  heartbeat = MakeHeartbeat(Far());
+  members.OnHeartbeat(heartbeat, At(10'100));
+  REQUIRE(members.StoreServedSince(At(9900), At(10'200)) == At(1000));
+  REQUIRE(members.StoreServedSince(At(10'050), At(10'200)) == base::Instant::Never());
+  heartbeat.sequence = 2;
+  heartbeat.store_service_time = base::Duration::Seconds(2);
+  members.OnHeartbeat(heartbeat, At(10'300));
+  REQUIRE(members.StoreServedSince(At(10'050), At(10'400)) == At(8300));
+  REQUIRE(members.StoreServedSince(At(9900), At(30'000)) == base::Instant::Never());
+}
+
 TEST_CASE("Two of many hosts watch the store, and more while these cannot reach it") {
   std::vector<HostRecord> hosts;
   for (std::uint16_t i = 0; i < 20; ++i) {
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -1,6 +1,7 @@
 // Serialization of the messages with cereal.
 #include "peering/codec.h"
 
+#include <algorithm>
 #include <array>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/array.hpp>
@@ -8,6 +9,7 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <exception>
+#include <limits>
 #include <sstream>
 
 namespace mangonotch::base {
@@ -99,11 +101,30 @@
   archive(it.target_key, it.in_flight);
 }
 
+/// Encodes a duration in four bytes, in whole milliseconds, rounded down.
+struct CompactDuration {
+  base::Duration& duration;
+
+  template <typename Archive>
+  void save(Archive& archive) const {
+    constexpr std::int64_t kMax = std::numeric_limits<std::uint32_t>::max();
+    archive(static_cast<std::uint32_t>(std::clamp(duration.milliseconds(), std::int64_t{0}, kMax)));
+  }
+
+  template <typename Archive>
+  void load(Archive& archive) {
+    std::uint32_t n = 0;
+    archive(n);
+    duration = base::Duration::Milliseconds(n);
+  }
+};
+
 /// All of a heartbeat but its lists.
 template <typename Archive>
 void SerializeStatus(Archive& archive, Heartbeat& it) {
-  archive(it.sender, it.incarnation, it.sequence, it.period, it.is_leaving, it.watches_store,
-          it.has_fresh_catalog, it.catalog_sequence, it.newest);
+  archive(it.sender, it.incarnation, it.sequence, CompactDuration{it.period}, it.is_leaving,
+          it.watches_store, it.has_fresh_catalog, CompactDuration{it.store_service_time},
+          it.catalog_sequence, it.newest);
 }
 
 }  // namespace mangonotch::fleet
@@ -114,7 +135,7 @@
 using fleet::Heartbeat;
 
 /// The low byte is the format version; it must change with every change of the encoding.
-constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6803;
+constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6804;
 constexpr std::uint32_t kChangesMagic = 0x6d6e6303;
 
 struct WireRelayed {
--- a/src/peering/tests/codec_test.cc
+++ b/src/peering/tests/codec_test.cc
@@ -17,6 +17,7 @@
   heartbeat.contacts.resize(kMaxContacts + 10);
   heartbeat.contacts.front() = {.address = *base::ParseIpAddress("10.1.2.3"), .port = 7};
   heartbeat.period = base::Duration::Milliseconds(300);
+  heartbeat.store_service_time = base::Duration::Seconds(40);
   return heartbeat;
 }
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -4,10 +4,10 @@
 #include <signal.h>
 
 #include <algorithm>
-#include <fstream>
 
 #include "http1/asio_address.h"
 #include "http1/clock.h"
+#include "tests/support/edge_settings.h"
 
 namespace mangonotch::soak {
 namespace {
@@ -35,8 +35,6 @@
   return {.address = *base::ParseIpAddress(ip), .port = port};
 }
 
-std::string Quoted(const std::string& text) { return '"' + text + '"'; }
-
 }  // namespace
 
 struct SoakRun::Worker {
@@ -85,7 +83,7 @@
     host->region = kRegions[i % 2];
     host->store_proxy = std::make_unique<FaultProxy>(context_, MakeEndpoint("127.0.0.1", 0),
                                                      MakeEndpoint("127.0.0.1", store_.port()));
-    lookup_addresses.push_back(MakeEndpoint(host->ip, 7102));
+    lookup_addresses.push_back(MakeEndpoint(host->ip, support::kEdgeLookupPort));
     hosts_.push_back(std::move(host));
   }
   for (std::size_t i = 0; i < hosts_.size(); ++i) StartHost(i);
@@ -106,20 +104,12 @@
 void SoakRun::StartHost(std::size_t index) {
   Host& host = *hosts_[index];
   host.settings_path = options_.folder + "/" + host.name + ".jsonc";
-  std::ofstream out(host.settings_path);
-  out << "{\"host\": " << Quoted(host.name) << ", \"region\": " << Quoted(host.region)
-      << ", \"zone\": " << Quoted(host.region + "-a")
-      << ",\n\"listen\": {\"callers\": " << Quoted(host.ip + ":7100")
-      << ", \"readiness\": " << Quoted(host.ip + ":7101")
-      << ", \"lookup\": " << Quoted(host.ip + ":7102")
-      << ", \"peers\": " << Quoted(host.ip + ":7103")
-      << ", \"metrics\": " << Quoted(host.ip + ":7104")
-      << "},\n\"zones\": [{\"zone\": \"north-a\", \"region\": \"north\"}, "
-         "{\"zone\": \"south-a\", \"region\": \"south\"}],\n\"seeds\": ["
-      << Quoted(hosts_[0]->ip + ":7103")
-      << "],\n\"store\": " << Quoted("127.0.0.1:" + std::to_string(host.store_proxy->port()))
-      << ",\n\"bounds\": {\"retry_ratio\": \"0.2\", \"retry_allowance\": \"50\"}}\n";
-  out.close();
+  support::WriteEdgeSettings(host.settings_path,
+                             {.name = host.name,
+                              .ip = host.ip,
+                              .region = host.region,
+                              .seed_ip = hosts_[0]->ip,
+                              .store = MakeEndpoint("127.0.0.1", host.store_proxy->port())});
   const std::vector<std::string> argv = {options_.binary, "edge", host.settings_path};
   const std::string log =
       options_.folder + "/" + host.name + "." + std::to_string(++host.starts) + ".log";
