Move the parameters and the listeners of an entry host out of edge_host.cc

ReplyListener holds its server and its responder in one object in place of two that point at each other. No change of behaviour.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -9,17 +9,17 @@
 #include <vector>
 
 #include "app/internal/catalog_report.h"
+#include "app/internal/edge_parameters.h"
 #include "app/internal/host_gauges.h"
 #include "app/internal/random_incarnation.h"
+#include "app/internal/reply_listener.h"
 #include "app/internal/store_watches.h"
 #include "app/internal/traffic_thread.h"
-#include "base/error.h"
-#include "base/hash.h"
 #include "discovery/registry.h"
 #include "fleet/members.h"
 #include "http1/clock.h"
+#include "http1/message.h"
 #include "http1/post.h"
-#include "http1/server.h"
 #include "jsonc/fault.h"
 #include "logging/log.h"
 #include "metrics/registry.h"
@@ -36,14 +36,8 @@
 using base::Duration;
 using logging::Level;
 
-/// Targets whose entries expired in an outage of the store register again within two seconds of
-/// its return; the remaining 0.5 s covers the time that their requests take to reach the store.
-constexpr Duration kRecoveryTime = Duration::Milliseconds(2500);
 /// Time that a starting host allows for the first messages from other hosts.
 constexpr Duration kPeerDiscoveryTime = Duration::Milliseconds(1500);
-/// When all hosts start together, a host leaves the store to others for a part of this time that
-/// follows from its name: most of them hear in time that others watch it.
-constexpr Duration kMaxWatchDelay = Duration::Milliseconds(2000);
 constexpr Duration kLookupTtl = Duration::Seconds(2);
 constexpr std::size_t kMaxLookupHosts = 64;
 /// A stopping host keeps serving for this time before it drains, since callers cache looked-up
@@ -60,44 +54,6 @@
 /// targets, the store and files.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
 
-/// An entry expires after three intervals without a renewal, and the last renewal before an outage
-/// was up to one interval old.
-constexpr std::int64_t kMinOutageIntervals = 2;
-
-discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds) {
-  return {.min_outage = bounds.target_heartbeat * kMinOutageIntervals,
-          .recovery_time = kRecoveryTime};
-}
-
-steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds) {
-  return {.ratio = bounds.retry_ratio,
-          .allowance = bounds.retry_allowance,
-          .window = bounds.retry_window};
-}
-
-steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings) {
-  steering::EngineSettings engine;
-  engine.region = settings.region;
-  engine.host_key = base::Hash(settings.host);
-  engine.zones = settings.zones;
-  engine.retry_limits = RetryLimitsOf(settings.bounds);
-  return engine;
-}
-
-Duration WatchDelayOf(std::string_view host) {
-  constexpr std::uint64_t kSteps = 1000;
-  const auto step = static_cast<std::int64_t>(base::Hash(host) % kSteps);
-  return kMaxWatchDelay * step / static_cast<std::int64_t>(kSteps);
-}
-
-std::vector<base::Endpoint> PeersOfSeeds(const settings::EdgeSettings& settings) {
-  std::vector<base::Endpoint> peers;
-  for (const base::IpAddress& it : settings.seeds) {
-    peers.push_back({.address = it, .port = settings.listen.peers.port});
-  }
-  return peers;
-}
-
 }  // namespace
 
 class EdgeHost::Control {
@@ -108,30 +64,7 @@
   void Run() { context_.run(); }
 
  private:
-  /// Answers the requests to one listening address from the state of `control`.
-  template <typename Reply>
-  struct Responder {
-    Control& control;
-    Reply reply;
-    http1::Server<Responder>* server = nullptr;
-
-    void OnRequest(http1::RequestId id, const http1::Request& request) {
-      server->Reply(id, reply(control, request));
-    }
-    void OnCallerGone(http1::RequestId) {}
-  };
-  using ReplyFunction = http1::Response (*)(Control&, const http1::Request&);
-  using ReplyServer = http1::Server<Responder<ReplyFunction>>;
-
-  /// An HTTP server and the responder that answers its requests.
-  struct Listener {
-    Listener(Control& control, const base::Endpoint& address, ReplyFunction reply)
-        : responder{control, reply}, server(control.context_, address, responder) {
-      responder.server = &server;
-    }
-    Responder<ReplyFunction> responder;
-    ReplyServer server;
-  };
+  using Listener = ReplyListener<Control>;
 
   static http1::Response ReplyReadiness(Control& control, const http1::Request& request);
   static http1::Response ReplyLookup(Control& control, const http1::Request& request);
@@ -207,9 +140,9 @@
           context_, store_, settings.host, settings.listen.peers,
           [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
       gossip_(context_, members_, registry_, RandomIncarnation(), GossipCallbacks()),
-      readiness_(*this, settings.listen.readiness, &ReplyReadiness),
-      lookup_(*this, settings.listen.lookup, &ReplyLookup),
-      metrics_server_(*this, settings.listen.metrics, &ReplyMetrics),
+      readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness),
+      lookup_(context_, settings.listen.lookup, *this, &ReplyLookup),
+      metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       expire_timer_(context_),
       stop_timer_(context_),
--- /dev/null
+++ b/src/app/internal/edge_parameters.cc
@@ -0,0 +1,57 @@
+// Conversion of settings.
+#include "app/internal/edge_parameters.h"
+
+#include <cstdint>
+
+#include "base/hash.h"
+
+namespace mangonotch::app {
+namespace {
+
+using base::Duration;
+
+/// Targets whose entries expired in an outage of the store register again within two seconds of
+/// its return; the remaining 0.5 s covers the time that their requests take to reach the store.
+constexpr Duration kRecoveryTime = Duration::Milliseconds(2500);
+/// An entry expires after three intervals without a renewal, and the last renewal before an outage
+/// was up to one interval old.
+constexpr std::int64_t kMinOutageIntervals = 2;
+constexpr Duration kMaxWatchDelay = Duration::Milliseconds(2000);
+
+}  // namespace
+
+discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds) {
+  return {.min_outage = bounds.target_heartbeat * kMinOutageIntervals,
+          .recovery_time = kRecoveryTime};
+}
+
+steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds) {
+  return {.ratio = bounds.retry_ratio,
+          .allowance = bounds.retry_allowance,
+          .window = bounds.retry_window};
+}
+
+steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings) {
+  steering::EngineSettings engine;
+  engine.region = settings.region;
+  engine.host_key = base::Hash(settings.host);
+  engine.zones = settings.zones;
+  engine.retry_limits = RetryLimitsOf(settings.bounds);
+  return engine;
+}
+
+Duration WatchDelayOf(std::string_view host) {
+  constexpr std::uint64_t kSteps = 1000;
+  const auto step = static_cast<std::int64_t>(base::Hash(host) % kSteps);
+  return kMaxWatchDelay * step / static_cast<std::int64_t>(kSteps);
+}
+
+std::vector<base::Endpoint> PeersOfSeeds(const settings::EdgeSettings& settings) {
+  std::vector<base::Endpoint> peers;
+  for (const base::IpAddress& it : settings.seeds) {
+    peers.push_back({.address = it, .port = settings.listen.peers.port});
+  }
+  return peers;
+}
+
+}  // namespace mangonotch::app
