Test a planned stop and a cut store link with real entry hosts

edge_planned_stop_test stops a host while a caller has three requests under way on one connection; edge_store_cut_test moves onto the same deployment.

--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -25,7 +25,7 @@
 constexpr int kMaxUnansweredProbes = 1;
 /// At most this long after the last sign of the server, the kernel reports its silence.
 constexpr base::Duration kSilenceTime =
-    base::Duration::Seconds(kProbeIntervalSeconds * (1 + kMaxUnansweredProbes));
+    base::Duration::Seconds(std::int64_t{kProbeIntervalSeconds} * (1 + kMaxUnansweredProbes));
 template <int kName>
 using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
 using UserTimeout = TcpOption<TCP_USER_TIMEOUT>;
--- a/src/http1/internal/server_connection.h
+++ b/src/http1/internal/server_connection.h
@@ -23,7 +23,7 @@
       : server_(&server), socket_(std::move(socket)) {}
 
   void Start();
-  void Reply(RequestId id, Response response);
+  void Reply(RequestId id, Response&& response);
   /// Finishes the pending requests and reads no further ones; without pending requests, the
   /// connection goes on until CheckTimeouts() finds it idle.
   void StartDraining();
--- a/src/http1/internal/server_connection.inl
+++ b/src/http1/internal/server_connection.inl
@@ -128,7 +128,7 @@
 }
 
 template <typename Handler>
-void ServerConnection<Handler>::Reply(RequestId id, Response response) {
+void ServerConnection<Handler>::Reply(RequestId id, Response&& response) {
   const auto entry = std::find_if(pipeline_.begin(), pipeline_.end(),
                                   [&](const PipelinedRequest& it) { return it.id == id; });
   if (entry == pipeline_.end()) return;
--- a/src/http1/tests/loopback.h
+++ b/src/http1/tests/loopback.h
@@ -40,8 +40,10 @@
 /// One end of a TCP connection with non-blocking reads.
 class LoopbackSocket {
  public:
-  explicit LoopbackSocket(std::uint16_t port) : socket_(context_) {
-    socket_.connect({boost::asio::ip::address_v4::loopback(), port});
+  explicit LoopbackSocket(std::uint16_t port)
+      : LoopbackSocket({boost::asio::ip::address_v4::loopback(), port}) {}
+  explicit LoopbackSocket(const boost::asio::ip::tcp::endpoint& server) : socket_(context_) {
+    socket_.connect(server);
     socket_.non_blocking(true);
   }
   explicit LoopbackSocket(boost::asio::ip::tcp::acceptor& acceptor) : socket_(context_) {
--- /dev/null
+++ b/tests/edge/edge_deployment.cc
@@ -0,0 +1,78 @@
+// Starting the hosts and running the stand-ins.
+#include "tests/edge/edge_deployment.h"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <cstdio>
+
+#include "tests/support/edge_settings.h"
+
+namespace mangonotch::edge_tests {
+namespace {
+
+using base::Duration;
+using platform::testing::StandInWorker;
+
+constexpr const char* kService = "status";
+constexpr Duration kStartTime = Duration::Seconds(20);
+
+base::Endpoint LocalPort(std::uint16_t port) {
+  return {.address = *base::ParseIpAddress("127.0.0.1"), .port = port};
+}
+
+}  // namespace
+
+EdgeDeployment::EdgeDeployment(const std::string& name, int host_count, Duration work_time)
+    : network_(context_), store_(context_, LocalPort(0)) {
+  store_.Put(std::string(platform::testing::kConfigurationStoreKey),
+             platform::testing::MakeConfiguration(1, kCallerHost, kService));
+  for (const char* const id : {"w-1", "w-2"}) {
+    workers_.push_back(std::make_unique<StandInWorker>(
+        context_, LocalPort(0),
+        platform::testing::WorkerOptions{
+            .id = id, .service = kService, .zone = "north-a", .work_time = work_time},
+        runs_));
+    const StandInWorker& worker = *workers_.back();
+    store_.Put(worker.EntryKey(),
+               worker.Entry("127.0.0.1:" + std::to_string(worker.port()), false));
+  }
+  const std::string folder = std::string(MANGONOTCH_TEST_LOGS) + "/" + name;
+  mkdir(MANGONOTCH_TEST_LOGS, 0755);
+  mkdir(folder.c_str(), 0755);
+  for (int i = 1; i <= host_count; ++i) StartHost(folder, i);
+}
+
+void EdgeDeployment::StartHost(const std::string& folder, int number) {
+  EdgeProcess host{.ip = network_.Host(number),
+                   .store_proxy = std::make_unique<soak::FaultProxy>(context_, LocalPort(0),
+                                                                     LocalPort(store_.port())),
+                   .process = nullptr};
+  const std::string name = "host-" + std::to_string(number);
+  const std::string settings = folder + "/" + name + ".jsonc";
+  support::WriteEdgeSettings(settings, {.name = name,
+                                        .ip = host.ip,
+                                        .region = "north",
+                                        .seed_ip = network_.Host(1),
+                                        .store = LocalPort(host.store_proxy->port())});
+  const std::string log = folder + "/" + name + ".log";
+  std::remove(log.c_str());  // Of an earlier run; it need not exist.
+  const std::vector<std::string> argv = {MANGONOTCH_BINARY, "edge", settings};
+  host.process = std::make_unique<support::Process>(argv, log);
+  hosts_.push_back(std::move(host));
+}
+
+void EdgeDeployment::RunFor(Duration d) {
+  context_.restart();
+  context_.run_for(http1::ToChrono(d));
+}
+
+bool EdgeDeployment::RunUntilReady() {
+  return RunUntil(kStartTime, [&] {
+    return std::all_of(hosts_.begin(), hosts_.end(), [](const EdgeProcess& it) {
+      return it.HasLogged("configuration=1 targets=2");
+    });
+  });
+}
+
+}  // namespace mangonotch::edge_tests
--- /dev/null
+++ b/tests/edge/edge_deployment.h
@@ -0,0 +1,70 @@
+// Entry hosts as separate processes, against a store and workers inside the test.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/instant.h"
+#include "http1/clock.h"
+#include "platform/testing/stand_in_store.h"
+#include "platform/testing/stand_in_worker.h"
+#include "tests/soak/fault_proxy.h"
+#include "tests/support/loopback_network.h"
+#include "tests/support/process.h"
+
+namespace mangonotch::edge_tests {
+
+inline constexpr const char* kCallerHost = "test.example";
+
+/// A host that reaches the store through a proxy.
+struct EdgeProcess {
+  /// True if `text` is in the host's log.
+  bool HasLogged(const std::string& text) const {
+    return process->Output().find(text) != std::string::npos;
+  }
+
+  std::string ip;
+  std::unique_ptr<soak::FaultProxy> store_proxy;
+  std::unique_ptr<support::Process> process;
+};
+
+/// Hosts of one region with two workers, all in the same availability zone.
+class EdgeDeployment {
+ public:
+  /// Starts `host_count` hosts, with settings and logs in a folder named `name`.
+  EdgeDeployment(const std::string& name, int host_count, base::Duration work_time);
+
+  /// Runs the stand-ins for `d`.
+  void RunFor(base::Duration d);
+  /// Runs the stand-ins until `condition` holds; false when it does not hold within `limit`.
+  template <typename Condition>
+  bool RunUntil(base::Duration limit, Condition condition) {
+    const base::Instant end = http1::Now() + limit;
+    while (http1::Now() < end) {
+      RunFor(base::Duration::Milliseconds(20));
+      if (condition()) return true;
+    }
+    return false;
+  }
+  /// Runs until all hosts know the workers; false when they do not in time.
+  bool RunUntilReady();
+
+  EdgeProcess& host(std::size_t i) { return hosts_[i]; }
+  platform::testing::StandInWorker& worker(std::size_t i) { return *workers_[i]; }
+  platform::testing::StandInStore& store() { return store_; }
+  const platform::testing::RunCounts& runs() const { return runs_; }
+
+ private:
+  void StartHost(const std::string& folder, int number);
+
+  boost::asio::io_context context_;
+  support::LoopbackNetwork network_;
+  platform::testing::RunCounts runs_;
+  platform::testing::StandInStore store_;
+  std::vector<std::unique_ptr<platform::testing::StandInWorker>> workers_;
+  std::vector<EdgeProcess> hosts_;
+};
+
+}  // namespace mangonotch::edge_tests
