Say that the store serves a host only while its last answer is recent

A watch that waits on a store that has fallen silent looks like a quiet store for up to 3.7 s. In that time its host would have denied an outage that other hosts had seen, and these would have dropped all targets whose entries expired in it. Found by reading; a case of registry_test shows the decision.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -183,8 +183,8 @@
 
 Duration EdgeHost::Control::StoreServiceTime() const {
   if (!store_watches_.is_fresh()) return {};
-  const base::Instant regained_at = registry_.outage().regained_at().value_or(base::Instant());
-  return http1::Now() - std::max(store_watches_.answered_since(), regained_at);
+  return registry_.outage().ServiceTime(store_watches_.answered_since(),
+                                        store_watches_.last_answer_at(), http1::Now());
 }
 
 void EdgeHost::Control::ReviewOutage() {
--- a/src/app/internal/store_watches.h
+++ b/src/app/internal/store_watches.h
@@ -2,6 +2,7 @@
 // records, each by a feed of its own.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 
 #include "catalog/store_position.h"
@@ -24,6 +25,10 @@
   /// When the store answered the first call for targets since the watches were last started;
   /// Never() before.
   base::Instant answered_since() const { return targets_feed_.answered_since(); }
+  /// When the store last answered a call of either watch.
+  base::Instant last_answer_at() const {
+    return std::max(targets_feed_.last_answer_at(), operator_records_feed_.last_answer_at());
+  }
   /// Another host knows changes up to `newest`: a watch that should have delivered them is renewed.
   void OnChangeMissed(const catalog::StorePosition& newest);
 
--- a/src/discovery/internal/store_outage.cc
+++ b/src/discovery/internal/store_outage.cc
@@ -15,6 +15,13 @@
   if (last_) last_->served_since = std::min(last_->served_since, since);
 }
 
+base::Duration StoreOutage::ServiceTime(base::Instant answered_since, base::Instant last_answer_at,
+                                        base::Instant now) const {
+  if (now - last_answer_at >= timing_.min_outage) return {};
+  const base::Instant since = last_ ? std::max(answered_since, last_->regained_at) : answered_since;
+  return now - since;
+}
+
 std::optional<base::Instant> StoreOutage::recovery_end() const {
   if (!last_) return std::nullopt;
   if (last_->served_since - last_->lost_at < timing_.min_outage) return std::nullopt;
--- a/src/discovery/store_outage.h
+++ b/src/discovery/store_outage.h
@@ -29,6 +29,12 @@
   /// `regained_at()`.
   void OnServedElsewhere(base::Instant since);
 
+  /// For how long the store has served this host without an interruption that may have been an
+  /// outage. Zero if an outage may have begun since the last answer: a watch that waits cannot
+  /// tell.
+  base::Duration ServiceTime(base::Instant answered_since, base::Instant last_answer_at,
+                             base::Instant now) const;
+
   /// Until then, a target without an entry may be a live one that has not registered again. nullopt
   /// if no outage has been seen.
   std::optional<base::Instant> recovery_end() const;
--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -161,6 +161,20 @@
   REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
 }
 
+// Guards against a host whose watch waits on a silent store and which denies the outage that others
+// have seen, so that all targets whose entries expired would be dropped.
+TEST_CASE("A host says that the store serves it only while its last answer is recent") {
+  StoreOutage outage(kTiming);
+  REQUIRE(outage.ServiceTime(At(1000), At(8000), At(9000)) == base::Duration::Seconds(8));
+  REQUIRE(outage.ServiceTime(At(1000), At(8000), At(11'000)) == base::Duration());
+  outage.OnRegained(At(11'500), At(12'000));
+  REQUIRE(outage.ServiceTime(At(1000), At(12'000), At(13'000)) == base::Duration::Seconds(12));
+  outage.OnRegained(At(14'000), At(18'000));
+  REQUIRE(outage.ServiceTime(At(1000), At(18'500), At(19'000)) == base::Duration::Seconds(1));
+  REQUIRE(outage.ServiceTime(At(18'700), At(18'700), At(19'000)) ==
+          base::Duration::Milliseconds(300));
+}
+
 TEST_CASE("The recovery begins when the store serves the first host after the outage") {
   Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
