Put the fault proxy with the test support, and shorten what tests guard against

The soak and the tests of entry hosts share the proxy; the folder of the latter now has the name of its namespace. No test changes what it checks.

--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -132,8 +132,7 @@
   REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
 }
 
-// Guards against requests to a target that has left: a cut watch or a single refused call was taken
-// for an outage (review, case 5).
+// Guards against a cut watch or a refused call that is taken for an outage of the store.
 TEST_CASE("A removal after an interruption too short for an expiry takes effect immediately") {
   Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
@@ -145,8 +144,7 @@
   REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
 }
 
-// Guards against requests to a target that has left: a host that had been cut off took its own cut
-// for an outage of the store (review, case 5, the day).
+// Guards against a host that takes its own cut for an outage of the store.
 TEST_CASE("A removal after an interruption that other hosts have not seen takes effect at once") {
   Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
@@ -161,8 +159,7 @@
   REQUIRE(registry.TakeUpdatedCatalog()->targets.empty());
 }
 
-// Guards against a host whose watch waits on a silent store and which denies the outage that others
-// have seen, so that all targets whose entries expired would be dropped.
+// Guards against a host that denies an outage because its own watch still waits.
 TEST_CASE("A host says that the store serves it only while its last answer is recent") {
   StoreOutage outage(kTiming);
   REQUIRE(outage.ServiceTime(At(1000), At(8000), At(9000)) == base::Duration::Seconds(8));
--- a/src/fleet/tests/members_test.cc
+++ b/src/fleet/tests/members_test.cc
@@ -85,8 +85,7 @@
   REQUIRE(members.PeerLoads(At(10'000)).empty());
 }
 
-// Guards against a host that believes in an outage of the store that was a fault of its own link,
-// or that believes what was said before the outage.
+// Guards against an outage that is denied by what was said before it, or by a stopped host.
 TEST_CASE("The store has served another host since the earliest instant that was heard recently") {
   Members members = MakeMembers(Self());
   REQUIRE(members.StoreServedSince(At(0), At(10)) == base::Instant::Never());
--- a/src/http1/tests/server_test.cc
+++ b/src/http1/tests/server_test.cc
@@ -142,8 +142,7 @@
   REQUIRE(busy.Received().ends_with("done"));
 }
 
-// Guards against a planned stop that drops requests that are with a target: the answer to the first
-// of several requests on a connection closed it.
+// Guards against a planned stop that drops requests which are with a target.
 TEST_CASE("A draining server answers every request that it has dispatched before it closes") {
   const std::vector<std::vector<RequestId>> reply_orders = {{1, 2, 3}, {3, 2, 1}, {2, 1, 3}};
   for (const auto& reply_order : reply_orders) {
@@ -179,8 +178,7 @@
   REQUIRE(caller.Received().ends_with("last"));
 }
 
-// Guards against the same loss without a stop: a handler that ends the connection with its response
-// dropped the requests behind that one.
+// Guards against the same loss when a handler ends the connection with its response.
 TEST_CASE("A response that ends the connection is not sent before those to dispatched requests") {
   Fixture fixture;
   LoopbackSocket caller(fixture.server.port());
--- a/tests/edge/edge_deployment.cc
+++ b/tests/edge_tests/edge_deployment.cc
@@ -1,5 +1,5 @@
 // Starting the hosts and running the stand-ins.
-#include "tests/edge/edge_deployment.h"
+#include "tests/edge_tests/edge_deployment.h"
 
 #include <sys/stat.h>
 
@@ -45,8 +45,8 @@
 
 void EdgeDeployment::StartHost(const std::string& folder, int number) {
   EdgeProcess host{.ip = network_.Host(number),
-                   .store_proxy = std::make_unique<soak::FaultProxy>(context_, LocalPort(0),
-                                                                     LocalPort(store_.port())),
+                   .store_proxy = std::make_unique<support::FaultProxy>(context_, LocalPort(0),
+                                                                        LocalPort(store_.port())),
                    .process = nullptr};
   const std::string name = "host-" + std::to_string(number);
   const std::string settings = folder + "/" + name + ".jsonc";
--- a/tests/edge/edge_deployment.h
+++ b/tests/edge_tests/edge_deployment.h
@@ -10,7 +10,7 @@
 #include "http1/clock.h"
 #include "platform/testing/stand_in_store.h"
 #include "platform/testing/stand_in_worker.h"
-#include "tests/soak/fault_proxy.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/support/loopback_network.h"
 #include "tests/support/process.h"
 
@@ -26,7 +26,7 @@
   }
 
   std::string ip;
-  std::unique_ptr<soak::FaultProxy> store_proxy;
+  std::unique_ptr<support::FaultProxy> store_proxy;
   std::unique_ptr<support::Process> process;
 };
 
--- a/tests/edge/planned_stop_test.cc
+++ b/tests/edge_tests/planned_stop_test.cc
@@ -1,12 +1,12 @@
 // Stops a host as planned while a caller has several requests under way on one connection. Guards
-// against requests that are with a target and get no answer (review, case 4).
+// against requests that are with a target and get no answer.
 #include <signal.h>
 
 #include <catch2/catch.hpp>
 
 #include "http1/message.h"
 #include "http1/tests/loopback.h"
-#include "tests/edge/edge_deployment.h"
+#include "tests/edge_tests/edge_deployment.h"
 #include "tests/support/edge_settings.h"
 
 namespace mangonotch::edge_tests {
--- a/tests/edge/store_cut_test.cc
+++ b/tests/edge_tests/store_cut_test.cc
@@ -1,9 +1,8 @@
-// Runs two hosts, one of which loses its link to the store for a while. Guards against requests to
-// a target that has left: the host took the fault of its own link for an outage of the store and
-// kept the target for the time that live targets take to register again (review, case 5, the day).
+// Runs two hosts, one of which loses its link to the store for a while. Guards against a host that
+// takes the fault of its own link for an outage of the store and keeps removed targets.
 #include <catch2/catch.hpp>
 
-#include "tests/edge/edge_deployment.h"
+#include "tests/edge_tests/edge_deployment.h"
 
 namespace mangonotch::edge_tests {
 namespace {
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -39,7 +39,7 @@
 
 struct SoakRun::Worker {
   std::unique_ptr<StandInWorker> server;
-  std::unique_ptr<FaultProxy> proxy;
+  std::unique_ptr<support::FaultProxy> proxy;
   bool is_draining = false;
 };
 
@@ -48,7 +48,7 @@
   std::string ip;
   std::string region;
   std::string settings_path;
-  std::unique_ptr<FaultProxy> store_proxy;
+  std::unique_ptr<support::FaultProxy> store_proxy;
   std::unique_ptr<support::Process> process;
   int starts = 0;
   bool is_paused = false;
@@ -70,8 +70,8 @@
                                          .service = kService,
                                          .zone = std::string(kRegions[i % 2]) + "-a"},
         runs_);
-    worker->proxy = std::make_unique<FaultProxy>(context_, MakeEndpoint("127.0.0.1", 0),
-                                                 MakeEndpoint("127.0.0.1", worker->server->port()));
+    worker->proxy = std::make_unique<support::FaultProxy>(
+        context_, MakeEndpoint("127.0.0.1", 0), MakeEndpoint("127.0.0.1", worker->server->port()));
     RegisterWorker(*worker, false);
     workers_.push_back(std::move(worker));
   }
@@ -81,8 +81,8 @@
     host->name = "host-" + std::to_string(i);
     host->ip = network_.Host(i + 1);
     host->region = kRegions[i % 2];
-    host->store_proxy = std::make_unique<FaultProxy>(context_, MakeEndpoint("127.0.0.1", 0),
-                                                     MakeEndpoint("127.0.0.1", store_.port()));
+    host->store_proxy = std::make_unique<support::FaultProxy>(
+        context_, MakeEndpoint("127.0.0.1", 0), MakeEndpoint("127.0.0.1", store_.port()));
     lookup_addresses.push_back(MakeEndpoint(host->ip, support::kEdgeLookupPort));
     hosts_.push_back(std::move(host));
   }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -13,8 +13,8 @@
 #include "base/random.h"
 #include "platform/testing/stand_in_store.h"
 #include "platform/testing/stand_in_worker.h"
-#include "tests/soak/fault_proxy.h"
 #include "tests/soak/soak_client.h"
+#include "tests/support/fault_proxy.h"
 #include "tests/support/loopback_network.h"
 #include "tests/support/process.h"
 
--- a/tests/soak/fault_proxy.cc
+++ b/tests/support/fault_proxy.cc
@@ -1,5 +1,5 @@
 // Implementation of FaultProxy: relays bytes in both directions of each connection.
-#include "tests/soak/fault_proxy.h"
+#include "tests/support/fault_proxy.h"
 
 #include <vector>
 
@@ -7,7 +7,7 @@
 #include "http1/clock.h"
 #include "http1/internal/write_all.h"
 
-namespace mangonotch::soak {
+namespace mangonotch::support {
 
 using boost::asio::ip::tcp;
 using boost::system::error_code;
@@ -115,4 +115,4 @@
   for (const auto& it : connections) it->Close(true);
 }
 
-}  // namespace mangonotch::soak
+}  // namespace mangonotch::support
--- a/tests/soak/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -12,7 +12,7 @@
 #include "base/endpoint.h"
 #include "base/instant.h"
 
-namespace mangonotch::soak {
+namespace mangonotch::support {
 
 struct ConnectionFault {
   /// Added before each relayed read is written on.
@@ -47,4 +47,4 @@
   std::unordered_set<std::shared_ptr<Connection>> connections_;
 };
 
-}  // namespace mangonotch::soak
+}  // namespace mangonotch::support
