--- a/tests/edge_tests/planned_stop_test.cc
+++ b/tests/edge_tests/planned_stop_test.cc
@@ -47,7 +47,7 @@
   for (int i = 0; i < kRequests; ++i) {
     INFO(Id(i));
     REQUIRE(deployment.runs().contains(Id(i)));
-    CHECK(answers.find("X-Attempt-Id: " + Id(i)) != std::string::npos);
+    CHECK(answers.find("whole answer to " + Id(i)) != std::string::npos);
   }
   REQUIRE(stopping.process->Wait(kStopTimeMs) == 0);
 }
