Show why some hosts of the large deployment miss configurations

Cause: after a listing of several pages a host announces records that are newer than what it counts as applied, and hosts that follow it pass the claim on; each then asks the other for what neither has.

--- a/src/discovery/tests/registry_test.cc
+++ b/src/discovery/tests/registry_test.cc
@@ -82,6 +82,20 @@
   REQUIRE(follower.newest() == source.newest());
 }
 
+// Guards against a host that asks one source forever for changes which that source has not applied.
+// Hidden from the module's own run, since KNOWN-RED.txt lists it.
+TEST_CASE("A host that follows one with a listing of several pages is not behind it",
+          "[.][paged-listing]") {
+  Registry lister(kTiming);
+  const std::vector<catalog::Target> targets = {MakeTarget("t1")};
+  lister.ReplaceTargets(targets, 100, At(0));
+  // A later page held a record that is newer than the first page.
+  lister.AdvanceNewest({.targets = 110});
+  Registry follower(kTiming);
+  follower.Merge(lister.ChangesSince(0), At(0));
+  REQUIRE_FALSE(catalog::IsBehind(follower.applied(), lister.newest()));
+}
+
 TEST_CASE("An evacuation that is read again after its end does not return, nor make targets cold") {
   Registry registry(kTiming);
   registry.PutTarget(MakeTarget("t1"), 1);
