Add tenants to the configuration types and to requests

Interface for the parts that follow: tenants with key digests, priority, rate limit and allowed regions; the digest of a request's key; the tenant's name in an attempt; local replies for unknown keys and exceeded quotas. Nothing sets them yet. Changes between hosts carry the tenants, in a new format version.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -2,6 +2,7 @@
 // the traffic thread.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -43,10 +44,33 @@
   std::vector<WeightedService> services;
   /// Regions whose targets may serve the requests; empty for all regions.
   std::vector<std::string> allowed_regions;
+  /// Requests need no key of a tenant.
+  bool allows_anonymous = false;
 
   bool operator==(const Route&) const = default;
 };
 
+/// Digest of an API key. Hosts keep and exchange digests only, never the keys.
+using KeyDigest = std::array<std::uint8_t, 16>;
+
+/// A customer of the deployment, known by its API keys.
+struct Tenant {
+  /// Never empty; unique in a configuration.
+  std::string name;
+  /// Each digest belongs to one tenant only.
+  std::vector<KeyDigest> keys;
+  /// Compared before the route's priority; 0 is the highest.
+  std::uint32_t priority = 0;
+  /// Requests per second from all hosts together, averaged; 0 for no limit.
+  double rate_limit = 0;
+  /// Requests beyond `rate_limit` that may come at once.
+  double burst = 0;
+  /// As in Route; a request is bound by both.
+  std::vector<std::string> allowed_regions;
+
+  bool operator==(const Tenant&) const = default;
+};
+
 struct Service {
   std::string name;
   std::string health_path;
@@ -76,6 +100,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
+  /// Empty if the deployment does not distinguish tenants: requests then need no key.
+  std::vector<Tenant> tenants;
 
   bool operator==(const Configuration&) const = default;
 };
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -69,7 +69,13 @@
 template <typename Archive>
 void serialize(Archive& archive, Route& it) {
   archive(it.name, it.host, it.path_prefix, it.is_idempotent, it.max_attempts, it.timeout,
-          it.latency_objective, it.priority, it.has_affinity, it.services, it.allowed_regions);
+          it.latency_objective, it.priority, it.has_affinity, it.services, it.allowed_regions,
+          it.allows_anonymous);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Tenant& it) {
+  archive(it.name, it.keys, it.priority, it.rate_limit, it.burst, it.allowed_regions);
 }
 
 template <typename Archive>
@@ -84,7 +90,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, Configuration& it) {
-  archive(it.version, it.routes, it.services, it.limits);
+  archive(it.version, it.routes, it.services, it.limits, it.tenants);
 }
 
 }  // namespace mangonotch::catalog
@@ -136,7 +142,7 @@
 
 /// The low byte is the format version; it must change with every change of the encoding.
 constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6804;
-constexpr std::uint32_t kChangesMagic = 0x6d6e6303;
+constexpr std::uint32_t kChangesMagic = 0x6d6e6304;
 
 struct WireRelayed {
   Heartbeat heartbeat;
--- a/src/steering/internal/attempt.cc
+++ b/src/steering/internal/attempt.cc
@@ -27,6 +27,10 @@
       return "targets_backing_off";
     case LocalReplyReason::kAnswerLost:
       return "answer_lost";
+    case LocalReplyReason::kUnknownKey:
+      return "unknown_key";
+    case LocalReplyReason::kOverQuota:
+      return "over_quota";
     case LocalReplyReason::kStopping:
       break;
   }
