Check API keys of tenants, and name the tenant to the target

A configuration with tenants now asks each request for a known key, unless its route is anonymous (401). The target gets X-Tenant in place of the key. Tenants' priorities go before routes', and both lists of regions bind. Hosts keep digests of keys only.

--- a/src/peering/tests/codec_test.cc
+++ b/src/peering/tests/codec_test.cc
@@ -68,6 +68,12 @@
   changes.removals = {{.id = "t2", .revision = 7}};
   auto configuration = std::make_shared<catalog::Configuration>();
   configuration->version = 12;
+  configuration->tenants = {{.name = "one",
+                             .keys = {{1, 2, 3}},
+                             .priority = 1,
+                             .rate_limit = 839,
+                             .burst = 20,
+                             .allowed_regions = {"A"}}};
   changes.configuration = configuration;
   changes.evacuated_zones = {"a1"};
   changes.newest = {.operator_records = 5, .targets = 8};
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -16,6 +16,7 @@
 
 #include "catalog/catalog.h"
 #include "catalog/route_table.h"
+#include "catalog/tenant_table.h"
 #include "steering/attempt.h"
 #include "steering/exchange.h"
 #include "steering/observer.h"
@@ -120,6 +121,8 @@
     bool HasTarget() const { return choice || next_send != base::Instant::Never(); }
   };
 
+  /// Finds the tenant of the request. Returns false if the request needs a known key and has none.
+  bool Authenticate(Exchange& exchange, const std::optional<catalog::KeyDigest>& key) const;
   ServiceState& ServiceOf(const std::string& name);
   const std::string& PickService(const catalog::Route& route);
   Candidates CandidatesOf(const Exchange& exchange, base::Instant now, bool with_ejected);
@@ -172,6 +175,7 @@
   std::vector<std::uint64_t> local_host_keys_;
   catalog::CatalogPtr catalog_;
   catalog::RouteTable routes_;
+  catalog::TenantTable tenants_;
   /// By name. Entries are never erased, since exchanges refer to them.
   std::map<std::string, ServiceState, std::less<>> services_;
   /// Listed targets, and targets that have left but whose limit or signals still hold if they
--- a/src/steering/exchange.h
+++ b/src/steering/exchange.h
@@ -1,8 +1,10 @@
 // State of a request between its arrival and its answer.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "base/instant.h"
@@ -36,6 +38,11 @@
   std::shared_ptr<const catalog::Configuration> configuration;
   /// Null when no route matches the request.
   const catalog::Route* route = nullptr;
+  /// Null if the caller is anonymous or the deployment has no tenants. Kept alive by
+  /// `configuration`.
+  const catalog::Tenant* tenant = nullptr;
+  /// Of the tenant; compared before the route's.
+  std::uint32_t tenant_priority = 0;
   ServiceState* service = nullptr;
   std::uint64_t affinity_key = 0;
   base::Instant arrived_at;
@@ -60,6 +67,13 @@
     for (const Attempt& it : attempts) n += it.has_reached_target ? 1 : 0;
     return n;
   }
+  /// Whether targets in `region` may serve the request.
+  bool IsRegionAllowed(std::string_view region) const {
+    const auto allows = [&](const std::vector<std::string>& regions) {
+      return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+    };
+    return allows(route->allowed_regions) && (!tenant || allows(tenant->allowed_regions));
+  }
   Attempt* Find(AttemptNumber number) {
     for (Attempt& it : attempts) {
       if (it.number == number) return &it;
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -78,6 +78,10 @@
     SendLocalReply(exchange, LocalReplyKind::kNoRoute, LocalReplyReason::kNoRoute, {}, now);
     return;
   }
+  if (!Authenticate(exchange, attributes.key)) {
+    SendLocalReply(exchange, LocalReplyKind::kUnauthorized, LocalReplyReason::kUnknownKey, {}, now);
+    return;
+  }
   exchange.deadline = std::min(attributes.deadline, now + exchange.route->timeout);
   exchange.affinity_key = exchange.route->has_affinity ? attributes.affinity_key : 0;
   exchange.service = &ServiceOf(PickService(*exchange.route));
@@ -86,6 +90,16 @@
   Dispatch(exchange, now);
 }
 
+template <typename Port, DecisionObserver Observer>
+bool Engine<Port, Observer>::Authenticate(Exchange& exchange,
+                                          const std::optional<catalog::KeyDigest>& key) const {
+  if (!tenants_.HasTenants()) return true;
+  exchange.tenant = key ? tenants_.Find(*key) : nullptr;
+  exchange.tenant_priority =
+      exchange.tenant ? exchange.tenant->priority : tenants_.anonymous_priority();
+  return exchange.tenant != nullptr || exchange.route->allows_anonymous;
+}
+
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::Dispatch(Exchange& exchange, base::Instant now) {
   const Selection selection = SelectTarget(exchange, now);
@@ -156,10 +170,14 @@
     timer = std::min(timer, now + std::max(choice.estimate * kHedgeFactor, kMinHedgeDelay));
   }
   SetTimer(exchange, timer);
-  port_.SendAttempt(exchange.id, {.number = number,
-                                  .target_id = target.record().id,
-                                  .address = target.record().address,
-                                  .deadline = exchange.deadline});
+  AttemptCommand command{.number = number,
+                         .target_id = target.record().id,
+                         .address = target.record().address,
+                         .deadline = exchange.deadline};
+  if (!exchange.configuration->tenants.empty()) {
+    command.tenant = exchange.tenant ? exchange.tenant->name : std::string();
+  }
+  port_.SendAttempt(exchange.id, command);
 }
 
 template <typename Port, DecisionObserver Observer>
--- a/src/steering/internal/engine_candidates.inl
+++ b/src/steering/internal/engine_candidates.inl
@@ -11,14 +11,11 @@
 template <typename Port, DecisionObserver Observer>
 typename Engine<Port, Observer>::Candidates Engine<Port, Observer>::CandidatesOf(
     const Exchange& exchange, base::Instant now, bool with_ejected) {
-  const std::vector<std::string>& regions = exchange.route->allowed_regions;
   Candidates candidates;
   for (const auto& it : exchange.service->targets()) {
     if (it->IsLeaving()) continue;
     if (catalog_->evacuated_zones.contains(it->record().zone)) continue;
-    const bool is_allowed =
-        regions.empty() || std::find(regions.begin(), regions.end(), it->region()) != regions.end();
-    if (!is_allowed) continue;
+    if (!exchange.IsRegionAllowed(it->region())) continue;
     if (!with_ejected && it->IsEjected(now)) continue;
     if (!IsWithinColdRate(*it, now)) continue;
     const bool was_tried =
--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -28,6 +28,7 @@
   if (!before || before->configuration != catalog_->configuration) {
     catalog::RouteTable routes{catalog_->configuration};
     routes_ = std::move(routes);
+    tenants_ = catalog::TenantTable(catalog_->configuration);
     wrr_weights_.clear();
   }
   for (auto& [name, service] : services_) service.targets().clear();
--- a/src/steering/service_state.h
+++ b/src/steering/service_state.h
@@ -49,7 +49,7 @@
   base::Instant dispatch_at() const { return dispatch_at_; }
   void set_dispatch_at(base::Instant at) { dispatch_at_ = at; }
 
-  // Queue of waiting requests, ordered by priority, then by deadline.
+  // Queue of waiting requests, ordered by the tenant's priority, the route's, then by deadline.
 
   void Enqueue(const Exchange& exchange);
   void Dequeue(const Exchange& exchange);
@@ -58,9 +58,9 @@
   std::vector<ExchangeId> WaitingInOrder() const;
 
  private:
-  using QueueKey = std::tuple<std::uint32_t, base::Instant, ExchangeId>;
+  using QueueKey = std::tuple<std::uint32_t, std::uint32_t, base::Instant, ExchangeId>;
   static QueueKey KeyOf(const Exchange& exchange) {
-    return {exchange.route->priority, exchange.deadline, exchange.id};
+    return {exchange.tenant_priority, exchange.route->priority, exchange.deadline, exchange.id};
   }
 
   std::string name_;
