Advance the applied position in the gossip test like a store watch does

A store watch applies a changed target and its revision in one call. The test left out the second half, and relied on hosts that announce what they have not applied, which the paged-listing fix has ended. What it checks is unchanged.

--- a/src/peering/tests/gossip_test.cc
+++ b/src/peering/tests/gossip_test.cc
@@ -124,6 +124,7 @@
 TEST_CASE("A host whose source has a silent store watch learns from another that a target leaves") {
   Fixture fixture;
   fixture.second.registry.PutTarget(MakeTarget("t1", true), 20);
+  fixture.second.registry.AdvanceTargets(20);
   REQUIRE(fixture.RunUntil([&] { return fixture.follower.KnowsDrainingTarget(); }));
 }
 
