Hold tenants to their limits over all hosts

A tenant's rate and burst bind over all hosts together, while most tenants send each host less than one request a second. A coordinator for each tenant, chosen by hash among the best connected hosts, adds up what hosts report and grants the share of requests that all of them admit. Requests over the limit get 429; what has not run counts as not admitted (docs/design/quotas.md).

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -11,6 +11,7 @@
 #include "app/internal/catalog_report.h"
 #include "app/internal/edge_parameters.h"
 #include "app/internal/host_gauges.h"
+#include "app/internal/quota_exchange.h"
 #include "app/internal/random_incarnation.h"
 #include "app/internal/reply_listener.h"
 #include "app/internal/store_watches.h"
@@ -104,6 +105,7 @@
   StoreWatches store_watches_;
   platform::HostRegistration host_registration_;
   peering::Gossip gossip_;
+  QuotaExchange quotas_;
   Listener readiness_;
   Listener lookup_;
   Listener metrics_server_;
@@ -140,6 +142,7 @@
           context_, store_, settings.host, settings.listen.peers,
           [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
       gossip_(context_, members_, registry_, RandomIncarnation(), GossipCallbacks()),
+      quotas_(context_, members_, gossip_, traffic_, metrics_),
       readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness),
       lookup_(context_, settings.listen.lookup, *this, &ReplyLookup),
       metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics),
@@ -174,10 +177,15 @@
           .on_interval =
               [this] {
                 ExchangeLoads();
+                quotas_.OnInterval(is_leaving_, http1::Now());
                 ReviewOutage();
                 UpdateStoreWatches();
               },
           .on_merged = [this](const fleet::CatalogRequest& request) { OnMerged(request); },
+          .on_datagram =
+              [this](std::string_view bytes, const base::Endpoint& sender) {
+                quotas_.OnDatagram(bytes, sender, http1::Now());
+              },
           .has_fresh_catalog = [this] { return store_watches_.is_fresh(); }};
 }
 
@@ -228,6 +236,7 @@
   has_targets_ = has_targets_ || !catalog->targets.empty();
   LogCatalog(*catalog, registry_, store_watches_.is_fresh() ? "store" : "host");
   gauges_.ReportCatalog(*catalog, registry_);
+  if (catalog->configuration) quotas_.ApplyConfiguration(*catalog->configuration);
   traffic_.Post([catalog](TrafficThread::Proxy& proxy) { proxy.ApplyCatalog(catalog); });
 }
 
--- a/src/edge/request_proxy.h
+++ b/src/edge/request_proxy.h
@@ -48,6 +48,8 @@
   void ApplyPeers(std::span<const steering::PeerLoad> loads, std::uint32_t hosts,
                   std::vector<std::uint64_t> local_hosts);
   std::vector<steering::PeerLoad> OwnLoads() const { return engine_.OwnLoads(); }
+  /// See Engine::limiter.
+  quota::Limiter& limiter() { return engine_.limiter(); }
   /// Stops accepting connections and requests; every further response closes its connection. See
   /// Engine::StopTaking and http1::Server::StartDraining.
   void StartDraining() {
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -212,6 +212,24 @@
   return fresh_count < kWatchersPerRegion && watching_count < kMaxActiveWatchersPerRegion;
 }
 
+std::vector<HostRecord> Members::BestConnected(std::size_t max_count, bool is_leaving,
+                                               base::Instant now) const {
+  std::vector<HostRecord> hosts;
+  if (!is_leaving) hosts.push_back(self_);
+  for (const auto& [host, member] : members_) {
+    if (!IsLive(member, now) || member.last_heartbeat.is_leaving) continue;
+    hosts.push_back(member.last_heartbeat.sender);
+  }
+  const auto by_rank = [](const HostRecord& a, const HostRecord& b) {
+    return WatcherRankOf(a) < WatcherRankOf(b);
+  };
+  const std::size_t n = std::min(max_count, hosts.size());
+  std::partial_sort(hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(n), hosts.end(),
+                    by_rank);
+  hosts.resize(n);
+  return hosts;
+}
+
 base::Instant Members::StoreServedSince(base::Instant heard_after, base::Instant now) const {
   base::Instant since = base::Instant::Never();
   for (const auto& [host, member] : members_) {
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -78,6 +78,10 @@
   /// these cannot reach the store. A watcher sends each change to the whole region, so a watcher on
   /// a slow link would delay all hosts there.
   bool ShouldWatchStore(base::Instant now) const;
+  /// The live hosts with the highest bandwidth, this one included, ties broken by the hash of the
+  /// name; hosts that are stopping are left out. At most `max_count`.
+  std::vector<HostRecord> BestConnected(std::size_t max_count, bool is_leaving,
+                                        base::Instant now) const;
   /// Since when the store has served another host without an interruption that may have been an
   /// outage, from heartbeats received after `heard_after`: the earliest such instant. Never() if no
   /// live host says so.
--- a/src/http1/asio_address.h
+++ b/src/http1/asio_address.h
@@ -12,6 +12,7 @@
 boost::asio::ip::address ToAsioAddress(const base::IpAddress& address);
 boost::asio::ip::tcp::endpoint ToAsio(const base::Endpoint& endpoint);
 boost::asio::ip::udp::endpoint ToAsioUdp(const base::Endpoint& endpoint);
+base::Endpoint FromAsio(const boost::asio::ip::udp::endpoint& endpoint);
 /// Formats the endpoint as "ip:port", or "[ip]:port" for IPv6.
 std::string ToText(const base::Endpoint& endpoint);
 
--- a/src/http1/internal/asio_address.cc
+++ b/src/http1/internal/asio_address.cc
@@ -25,6 +25,22 @@
   return {ToAsioAddress(endpoint.address), endpoint.port};
 }
 
+base::Endpoint FromAsio(const boost::asio::ip::udp::endpoint& endpoint) {
+  base::Endpoint result;
+  result.port = endpoint.port();
+  const boost::asio::ip::address address = endpoint.address();
+  if (address.is_v4()) {
+    const auto bytes =
+        boost::asio::ip::make_address_v6(boost::asio::ip::v4_mapped, address.to_v4()).to_bytes();
+    std::copy(bytes.begin(), bytes.end(), result.address.bytes.begin());
+  } else {
+    const auto bytes = address.to_v6().to_bytes();
+    std::copy(bytes.begin(), bytes.end(), result.address.bytes.begin());
+  }
+  result.address.is_v4 = address.is_v4();
+  return result;
+}
+
 std::string ToText(const base::Endpoint& endpoint) {
   const std::string address = ToAsioAddress(endpoint.address).to_string();
   const std::string port = std::to_string(endpoint.port);
--- a/src/peering/codec.h
+++ b/src/peering/codec.h
@@ -1,6 +1,6 @@
-// Encodes the messages between hosts: heartbeats as datagrams and catalog changes as HTTP bodies.
-// The format is cereal's portable binary archive, preceded by a magic number that includes the
-// format version.
+// Encodes the messages between hosts: heartbeats and those of quotas as datagrams, and catalog
+// changes as HTTP bodies. The format is cereal's portable binary archive, preceded by a magic
+// number that includes the format version.
 #pragma once
 
 #include <cstddef>
@@ -12,6 +12,7 @@
 #include "base/instant.h"
 #include "discovery/registry.h"
 #include "fleet/heartbeat.h"
+#include "quota/messages.h"
 
 namespace mangonotch::peering {
 
@@ -28,6 +29,13 @@
 /// Returns nullopt if `bytes` is not a heartbeat of this format version.
 std::optional<fleet::Heartbeat> DecodeHeartbeat(std::string_view bytes);
 
+// Messages of quotas, one datagram each. Decoding returns nullopt for other bytes.
+
+std::string EncodeUsageReport(const quota::UsageReport& report);
+std::optional<quota::UsageReport> DecodeUsageReport(std::string_view bytes);
+std::string EncodeShareUpdate(const quota::ShareUpdate& update);
+std::optional<quota::ShareUpdate> DecodeShareUpdate(std::string_view bytes);
+
 /// Instants are encoded as the time remaining after `now`, since the clocks of hosts differ.
 std::string EncodeChanges(const discovery::CatalogChanges& changes, base::Instant now);
 /// Returns nullopt if `bytes` is not a set of changes of this format version.
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -34,6 +34,8 @@
     std::function<void()> on_interval;
     /// Called after the changes of another host have been merged into the registry.
     std::function<void(const fleet::CatalogRequest&)> on_merged;
+    /// Receives datagrams that are not heartbeats; they are dropped if empty.
+    std::function<void(std::string_view bytes, const base::Endpoint& sender)> on_datagram{};
     /// Returns whether this host watches the store itself and, as far as it can tell, needs no
     /// changes from other hosts.
     std::function<bool()> has_fresh_catalog;
@@ -50,6 +52,9 @@
   /// Sends a heartbeat to the known hosts of this region immediately.
   void AnnounceLocally();
 
+  /// Sends a datagram from the peer address. A datagram that cannot be sent is lost.
+  void SendDatagram(const base::Endpoint& receiver, std::string_view bytes);
+
   // Handler of the HTTP server of catalog changes.
 
   void OnRequest(http1::RequestId id, const http1::Request& request);
@@ -57,6 +62,7 @@
 
  private:
   void Receive();
+  void OnDatagram(std::string_view bytes);
   void OnInterval();
   void FetchIfBehind();
   void Fetch(const fleet::CatalogRequest& catalog_request);
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -135,6 +135,49 @@
 
 }  // namespace mangonotch::fleet
 
+namespace mangonotch::quota {
+
+/// A share from 0 to 1 in two bytes.
+struct CompactShare {
+  double& share;
+
+  static constexpr double kScale = 65535;
+
+  template <typename Archive>
+  void save(Archive& archive) const {
+    archive(static_cast<std::uint16_t>(std::clamp(share, 0.0, 1.0) * kScale + 0.5));
+  }
+
+  template <typename Archive>
+  void load(Archive& archive) {
+    std::uint16_t n = 0;
+    archive(n);
+    share = n / kScale;
+  }
+};
+
+template <typename Archive>
+void serialize(Archive& archive, TenantUsage& it) {
+  archive(it.tenant, it.admitted, it.refused, CompactShare{it.share});
+}
+
+template <typename Archive>
+void serialize(Archive& archive, TenantShare& it) {
+  archive(it.tenant, CompactShare{it.share});
+}
+
+template <typename Archive>
+void serialize(Archive& archive, UsageReport& it) {
+  archive(it.number, it.usages);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ShareUpdate& it) {
+  archive(it.report, it.shares);
+}
+
+}  // namespace mangonotch::quota
+
 namespace mangonotch::peering {
 namespace {
 
@@ -142,6 +185,8 @@
 
 /// The low byte is the format version; it must change with every change of the encoding.
 constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6804;
+constexpr std::uint32_t kUsageReportMagic = 0x6d6e7101;
+constexpr std::uint32_t kShareUpdateMagic = 0x6d6e7301;
 constexpr std::uint32_t kChangesMagic = 0x6d6e6304;
 
 struct WireRelayed {
@@ -260,6 +305,22 @@
   return heartbeat;
 }
 
+std::string EncodeUsageReport(const quota::UsageReport& report) {
+  return Encode(kUsageReportMagic, report);
+}
+
+std::optional<quota::UsageReport> DecodeUsageReport(std::string_view bytes) {
+  return Decode<quota::UsageReport>(kUsageReportMagic, bytes);
+}
+
+std::string EncodeShareUpdate(const quota::ShareUpdate& update) {
+  return Encode(kShareUpdateMagic, update);
+}
+
+std::optional<quota::ShareUpdate> DecodeShareUpdate(std::string_view bytes) {
+  return Decode<quota::ShareUpdate>(kShareUpdateMagic, bytes);
+}
+
 std::string EncodeChanges(const discovery::CatalogChanges& changes, base::Instant now) {
   WireChanges wire{.sequence = changes.sequence,
                    .is_full = changes.is_full,
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -48,22 +48,32 @@
 }
 
 void Gossip::Receive() {
-  socket_.async_receive_from(
-      boost::asio::buffer(receive_buffer_), sender_,
-      [this](boost::system::error_code ec, std::size_t n) {
-        if (ec == boost::asio::error::operation_aborted) return;
-        // An error reports that a datagram sent earlier could not be delivered to its receiver; it
-        // does not affect other hosts.
-        if (!ec) {
-          if (const auto heartbeat = DecodeHeartbeat({receive_buffer_.data(), n})) {
-            members_.OnHeartbeat(*heartbeat, http1::Now());
-            GreetNewcomers();
-            const bool is_ahead = catalog::IsBehind(registry_.applied(), heartbeat->newest);
-            if (heartbeat->has_fresh_catalog || is_ahead) FetchIfBehind();
-          }
-        }
-        Receive();
-      });
+  socket_.async_receive_from(boost::asio::buffer(receive_buffer_), sender_,
+                             [this](boost::system::error_code ec, std::size_t n) {
+                               if (ec == boost::asio::error::operation_aborted) return;
+                               // An error reports that a datagram sent earlier could not be
+                               // delivered to its receiver; it does not affect other hosts.
+                               if (!ec) OnDatagram({receive_buffer_.data(), n});
+                               Receive();
+                             });
+}
+
+void Gossip::OnDatagram(std::string_view bytes) {
+  const auto heartbeat = DecodeHeartbeat(bytes);
+  if (!heartbeat) {
+    if (callbacks_.on_datagram) callbacks_.on_datagram(bytes, http1::FromAsio(sender_));
+    return;
+  }
+  members_.OnHeartbeat(*heartbeat, http1::Now());
+  GreetNewcomers();
+  const bool is_ahead = catalog::IsBehind(registry_.applied(), heartbeat->newest);
+  if (heartbeat->has_fresh_catalog || is_ahead) FetchIfBehind();
+}
+
+void Gossip::SendDatagram(const base::Endpoint& receiver, std::string_view bytes) {
+  boost::system::error_code ec;
+  // Send errors are ignored like lost datagrams.
+  socket_.send_to(boost::asio::buffer(bytes), http1::ToAsioUdp(receiver), 0, ec);
 }
 
 void Gossip::Announce() {
--- a/src/peering/tests/codec_test.cc
+++ b/src/peering/tests/codec_test.cc
@@ -59,6 +59,27 @@
   }
 }
 
+TEST_CASE("Messages of quotas survive encoding, and are not taken for each other") {
+  const quota::UsageReport report{
+      .number = 7, .usages = {{.tenant = 1, .admitted = -2, .refused = 3, .share = 0}}};
+  const quota::ShareUpdate update{.report = 7, .shares = {{.tenant = 1, .share = 1}}};
+  REQUIRE(DecodeUsageReport(EncodeUsageReport(report)) == report);
+  REQUIRE(DecodeShareUpdate(EncodeShareUpdate(update)) == update);
+  REQUIRE_FALSE(DecodeUsageReport(EncodeShareUpdate(update)));
+  REQUIRE_FALSE(DecodeShareUpdate(EncodeUsageReport(report)));
+  REQUIRE_FALSE(DecodeHeartbeat(EncodeUsageReport(report)));
+  REQUIRE_FALSE(DecodeUsageReport("x"));
+}
+
+TEST_CASE("A report and an update of the largest size fit into a datagram") {
+  quota::UsageReport report;
+  report.usages.resize(quota::kMaxUsages);
+  REQUIRE(EncodeUsageReport(report).size() <= kMaxDatagramBytes);
+  quota::ShareUpdate update;
+  update.shares.resize(quota::kMaxShares);
+  REQUIRE(EncodeShareUpdate(update).size() <= kMaxDatagramBytes);
+}
+
 TEST_CASE("Decoded changes keep the remaining cold time when the clocks of the hosts differ") {
   discovery::CatalogChanges changes{.sequence = 4, .is_full = true, .targets_revision = 9};
   catalog::Target target;
--- /dev/null
+++ b/src/quota/coordinator.h
@@ -0,0 +1,60 @@
+// Keeps the limits of the tenants that this host coordinates: adds up what all hosts report, and
+// answers with the share of requests that each of them admits. Has no sockets, threads or clock.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "base/instant.h"
+#include "catalog/catalog.h"
+#include "quota/messages.h"
+#include "quota/token_bucket.h"
+
+namespace mangonotch::quota {
+
+class Coordinator {
+ public:
+  void SetTenants(std::span<const catalog::Tenant> tenants);
+
+  /// Applies the usages of one host and returns the shares of the tenants in them.
+  std::vector<TenantShare> OnReport(std::span<const TenantUsage> usages, base::Instant now);
+
+  /// Shares to send to all hosts: those of tenants that have just reached their limit or are no
+  /// longer held to it, and now and then those of tenants that stay at their limit.
+  std::vector<TenantShare> TakeBroadcast(base::Instant now);
+
+  /// Tenants whose requests are refused in part at present.
+  std::uint32_t limited() const { return limited_; }
+  /// Tenants with recent reports.
+  std::uint32_t CountActive(base::Instant now) const;
+
+ private:
+  struct State {
+    double rate = 0;
+    double burst = 0;
+    TokenBucket bucket;
+    /// Requests per second, admitted or not; decays since `demand_at`.
+    double demand = 0;
+    base::Instant demand_at;
+    /// First of the reports without a long pause between them.
+    base::Instant first_report_at;
+    base::Instant last_report_at;
+    /// Lowest share that hosts held when their first reports came.
+    double inherited_share = 1;
+    bool is_limited = false;
+    /// Last broadcast of the share.
+    base::Instant broadcast_at;
+    double broadcast_share = 1;
+  };
+
+  static double DemandAt(const State& state, base::Instant now);
+  static double ShareOf(State& state, base::Instant now);
+  void Apply(State& state, const TenantUsage& usage, base::Instant now);
+
+  std::unordered_map<TenantKey, State> states_;
+  std::uint32_t limited_ = 0;
+};
+
+}  // namespace mangonotch::quota
--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -17,6 +17,7 @@
 #include "catalog/catalog.h"
 #include "catalog/route_table.h"
 #include "catalog/tenant_table.h"
+#include "quota/limiter.h"
 #include "steering/attempt.h"
 #include "steering/exchange.h"
 #include "steering/observer.h"
@@ -70,6 +71,7 @@
   /// this one, and the keys of the other hosts in this region.
   void SetHosts(std::uint32_t host_count, std::vector<std::uint64_t> local_host_keys) {
     host_count_ = host_count;
+    limiter_.SetHostCount(host_count);
     local_host_keys_ = std::move(local_host_keys);
   }
   /// Replaces the in-flight requests known from the other hosts.
@@ -94,6 +96,9 @@
 
   /// False once the request has been answered or abandoned.
   bool IsOpen(ExchangeId id) const { return exchanges_.contains(id); }
+  /// The limits of tenants at this host, whose usage and shares the caller exchanges with other
+  /// hosts.
+  quota::Limiter& limiter() { return limiter_; }
   const catalog::Configuration* configuration() const {
     return catalog_ ? catalog_->configuration.get() : nullptr;
   }
@@ -160,6 +165,8 @@
                       base::Duration retry_after, base::Instant now);
   void CancelOpenAttempts(Exchange& exchange);
   void EraseExchange(Exchange& exchange);
+  /// Gives back the tenant's use of its limit for a request that has not run.
+  void RefundQuota(Exchange& exchange);
   void SetTimer(Exchange& exchange, base::Instant at);
   void DispatchWaiting(ServiceState& service, base::Instant now);
   base::Duration QueueDelay(const ServiceState& service) const;
@@ -176,6 +183,7 @@
   catalog::CatalogPtr catalog_;
   catalog::RouteTable routes_;
   catalog::TenantTable tenants_;
+  quota::Limiter limiter_;
   /// By name. Entries are never erased, since exchanges refer to them.
   std::map<std::string, ServiceState, std::less<>> services_;
   /// Listed targets, and targets that have left but whose limit or signals still hold if they
--- a/src/steering/exchange.h
+++ b/src/steering/exchange.h
@@ -43,6 +43,8 @@
   const catalog::Tenant* tenant = nullptr;
   /// Of the tenant; compared before the route's.
   std::uint32_t tenant_priority = 0;
+  /// The request counts towards the tenant's limit.
+  bool is_charged_to_quota = false;
   ServiceState* service = nullptr;
   std::uint64_t affinity_key = 0;
   base::Instant arrived_at;
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -21,6 +21,8 @@
 /// since these targets have the requested objects in their caches.
 inline constexpr std::uint32_t kMaxReferenceRank = 1;
 inline constexpr base::Duration kMinRetryAfter = base::Duration::Milliseconds(50);
+/// A tenant that exceeds its limit mostly does so for seconds.
+inline constexpr base::Duration kOverQuotaRetryAfter = base::Duration::Seconds(1);
 
 constexpr RetryReason ReasonOf(AttemptResult failure) {
   switch (failure) {
@@ -50,7 +52,8 @@
     : settings_(std::move(settings)),
       port_(port),
       observer_(observer),
-      placement_(settings_.placement) {
+      placement_(settings_.placement),
+      limiter_(settings_.host_key) {
   static_assert(EnginePort<Port>);
   for (const auto& [zone, region] : settings_.zones) regions_.insert(region);
 }
@@ -82,6 +85,12 @@
     SendLocalReply(exchange, LocalReplyKind::kUnauthorized, LocalReplyReason::kUnknownKey, {}, now);
     return;
   }
+  if (exchange.tenant && !limiter_.TryAdmit(*exchange.tenant, now)) {
+    SendLocalReply(exchange, LocalReplyKind::kOverQuota, LocalReplyReason::kOverQuota,
+                   kOverQuotaRetryAfter, now);
+    return;
+  }
+  exchange.is_charged_to_quota = exchange.tenant != nullptr;
   exchange.deadline = std::min(attributes.deadline, now + exchange.route->timeout);
   exchange.affinity_key = exchange.route->has_affinity ? attributes.affinity_key : 0;
   exchange.service = &ServiceOf(PickService(*exchange.route));
@@ -293,6 +302,7 @@
   CancelOpenAttempts(exchange);
   const LocalReply reply{.kind = kind, .reason = reason, .retry_after = retry_after};
   observer_.OnLocalReply(exchange, reply, now);
+  if (kind == LocalReplyKind::kNotRun) RefundQuota(exchange);
   if (!exchange.is_caller_gone) port_.SendLocalReply(exchange.id, reply);
   EraseExchange(exchange);
 }
@@ -309,10 +319,16 @@
   // its changes half applied.
   if (!exchange.route->is_idempotent && exchange.CountOpenAttempts() > 0) return;
   CancelOpenAttempts(exchange);
+  if (exchange.attempts.empty()) RefundQuota(exchange);
   EraseExchange(exchange);
   DispatchWaiting(service, now);
 }
 
+template <typename Port, DecisionObserver Observer>
+void Engine<Port, Observer>::RefundQuota(Exchange& exchange) {
+  if (std::exchange(exchange.is_charged_to_quota, false)) limiter_.Refund(*exchange.tenant);
+}
+
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::CancelOpenAttempts(Exchange& exchange) {
   for (Attempt& it : exchange.attempts) {
--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -29,6 +29,7 @@
     catalog::RouteTable routes{catalog_->configuration};
     routes_ = std::move(routes);
     tenants_ = catalog::TenantTable(catalog_->configuration);
+    if (catalog_->configuration) limiter_.SetTenants(catalog_->configuration->tenants);
     wrr_weights_.clear();
   }
   for (auto& [name, service] : services_) service.targets().clear();
--- a/src/steering/tests/tenant_test.cc
+++ b/src/steering/tests/tenant_test.cc
@@ -30,6 +30,12 @@
         id, {.host = "h.example", .target = target, .deadline = At(ms + 1000), .key = key}, At(ms));
     return id;
   }
+  /// Sets the share that the coordinator of the first tenant grants.
+  void SetShare(double share) {
+    const std::vector<quota::TenantShare> shares = {
+        {.tenant = quota::KeyOf("one"), .share = share}};
+    engine.limiter().ApplyShares(shares, At(0));
+  }
   LocalReplyKind LastReply() const { return port.local_replies.back().reply.kind; }
 };
 
@@ -95,6 +101,27 @@
   REQUIRE(host.LastReply() == LocalReplyKind::kNotRun);
 }
 
+// Guards against a limit that is not kept, and against requests that use it up without being
+// served.
+TEST_CASE(
+    "A request beyond its tenant's limit is refused, and one that has not run counts as none") {
+  TenantHarness host;
+  host.configuration.tenants[0].rate_limit = 1;
+  host.configuration.tenants[0].burst = 1;
+  host.Apply({MakeTarget("t1", "status", "a1", 100)}, 0);
+  host.SetShare(0);
+  host.RequestWithKey("/look/1", kKey);
+  REQUIRE(host.LastReply() == LocalReplyKind::kOverQuota);
+  host.RequestWithKey("/look/1", kOtherKey);
+  REQUIRE(host.port.sent.size() == 1);
+  host.SetShare(1);
+  host.engine.limiter().TakeUsage(At(0));
+  host.Apply({}, 1);
+  host.RequestWithKey("/look/2", kKey, 1);
+  REQUIRE(host.LastReply() == LocalReplyKind::kNotRun);
+  REQUIRE(host.engine.limiter().TakeUsage(At(1)).empty());
+}
+
 // Load: more requests than slots, of two tenants and two routes.
 TEST_CASE("Waiting requests are sent by the tenant's priority, then by the route's") {
   TenantHarness host;
