Measure tenants' limits in the operators' window

A limit is kept if a window holds at most the rate's requests and the burst, with a tolerance. Coordinators now grant rate + burst / window for as long as it is asked for, and half of the tolerance at once. The log line of a request names its tenant.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -142,7 +142,7 @@
           context_, store_, settings.host, settings.listen.peers,
           [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
       gossip_(context_, members_, registry_, RandomIncarnation(), GossipCallbacks()),
-      quotas_(context_, members_, gossip_, traffic_, metrics_),
+      quotas_(context_, members_, gossip_, traffic_, metrics_, QuotaTermsOf(settings.bounds)),
       readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness),
       lookup_(context_, settings.listen.lookup, *this, &ReplyLookup),
       metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics),
--- a/src/app/internal/edge_parameters.cc
+++ b/src/app/internal/edge_parameters.cc
@@ -31,6 +31,11 @@
           .window = bounds.retry_window};
 }
 
+quota::Terms QuotaTermsOf(const settings::EdgeBounds& bounds) {
+  return {
+      .window = bounds.quota_window, .overage = bounds.quota_overage, .slack = bounds.quota_slack};
+}
+
 steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings) {
   steering::EngineSettings engine;
   engine.region = settings.region;
--- a/src/app/internal/edge_parameters.h
+++ b/src/app/internal/edge_parameters.h
@@ -7,6 +7,7 @@
 #include "base/duration.h"
 #include "base/endpoint.h"
 #include "discovery/store_outage.h"
+#include "quota/terms.h"
 #include "settings/edge_settings.h"
 #include "steering/engine.h"
 #include "steering/retry_budget.h"
@@ -15,6 +16,7 @@
 
 discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds);
 steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds);
+quota::Terms QuotaTermsOf(const settings::EdgeBounds& bounds);
 steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings);
 /// When all hosts start together, a host leaves the store to others for this time, which follows
 /// from its name: most of them hear in time that others watch it.
--- a/src/app/internal/quota_exchange.cc
+++ b/src/app/internal/quota_exchange.cc
@@ -20,7 +20,7 @@
 
 QuotaExchange::QuotaExchange(boost::asio::io_context& context, const fleet::Members& members,
                              peering::Gossip& gossip, TrafficThread& traffic,
-                             metrics::Registry& metrics)
+                             metrics::Registry& metrics, const quota::Terms& terms)
     : context_(context),
       members_(members),
       gossip_(gossip),
@@ -37,7 +37,8 @@
                                        "Reports of usage sent to coordinators")),
       reports_unanswered_(
           metrics.AddCounter("mangonotch_quota_usages_unanswered_total",
-                             "Usages whose report was not answered in time, and sent again")) {}
+                             "Usages whose report was not answered in time, and sent again")),
+      coordinator_(terms) {}
 
 void QuotaExchange::ApplyConfiguration(const catalog::Configuration& configuration) {
   coordinator_.SetTenants(configuration.tenants);
--- a/src/app/internal/quota_exchange.h
+++ b/src/app/internal/quota_exchange.h
@@ -23,7 +23,8 @@
  public:
   /// All references must outlive this object.
   QuotaExchange(boost::asio::io_context& context, const fleet::Members& members,
-                peering::Gossip& gossip, TrafficThread& traffic, metrics::Registry& metrics);
+                peering::Gossip& gossip, TrafficThread& traffic, metrics::Registry& metrics,
+                const quota::Terms& terms);
 
   void ApplyConfiguration(const catalog::Configuration& configuration);
   /// Sends the usages that are due and the shares that all hosts must know. Called once per
--- a/src/edge/internal/decision_log.cc
+++ b/src/edge/internal/decision_log.cc
@@ -237,6 +237,7 @@
                 {"outcome", outcome},
                 {"route", exchange.route ? exchange.route->name : std::string("none")},
                 {"service", exchange.service ? exchange.service->name() : std::string("none")},
+                {"tenant", exchange.tenant ? exchange.tenant->name : std::string("none")},
                 {"configuration", exchange.configuration ? exchange.configuration->version : 0},
                 {"deadline_ms", until_deadline},
                 {"took_ms", (now - exchange.arrived_at).milliseconds()},
--- a/src/quota/coordinator.h
+++ b/src/quota/coordinator.h
@@ -10,12 +10,15 @@
 #include "base/instant.h"
 #include "catalog/catalog.h"
 #include "quota/messages.h"
+#include "quota/terms.h"
 #include "quota/token_bucket.h"
 
 namespace mangonotch::quota {
 
 class Coordinator {
  public:
+  explicit Coordinator(const Terms& terms) : terms_(terms) {}
+
   void SetTenants(std::span<const catalog::Tenant> tenants);
 
   /// Applies the usages of one host and returns the shares of the tenants in them.
@@ -32,8 +35,9 @@
 
  private:
   struct State {
+    /// Of the bucket.
     double rate = 0;
-    double burst = 0;
+    double depth = 0;
     TokenBucket bucket;
     /// Requests per second, admitted or not; decays since `demand_at`.
     double demand = 0;
@@ -53,6 +57,7 @@
   static double ShareOf(State& state, base::Instant now);
   void Apply(State& state, const TenantUsage& usage, base::Instant now);
 
+  Terms terms_;
   std::unordered_map<TenantKey, State> states_;
   std::uint32_t limited_ = 0;
 };
--- a/src/quota/internal/coordinator.cc
+++ b/src/quota/internal/coordinator.cc
@@ -26,14 +26,10 @@
 /// Other changes of a share reach the hosts that use it with the answers to their reports.
 constexpr double kBroadcastChange = 0.25;
 
-/// Bucket depth of tenants with a small burst: requests that are few arrive unevenly.
-constexpr double kMinDepth = 10;
 /// A coordinator that has heard of a tenant for less than this still has its reports. Later ones
 /// may go to another coordinator, whose shares must not be overruled.
 constexpr Duration kBroadcastReportAge = Duration::Milliseconds(300);
 
-double DepthOf(double burst) { return std::max(burst, kMinDepth); }
-
 }  // namespace
 
 void Coordinator::SetTenants(std::span<const catalog::Tenant> tenants) {
@@ -43,8 +39,8 @@
     const TenantKey key = KeyOf(it.name);
     limited.insert(key);
     State& state = states_[key];
-    state.rate = it.rate_limit;
-    state.burst = it.burst;
+    state.rate = SustainedRate(it, terms_);
+    state.depth = BurstDepth(it, terms_);
   }
   std::erase_if(states_, [&](const auto& it) { return !limited.contains(it.first); });
 }
@@ -60,7 +56,7 @@
     state.inherited_share = 1;
   }
   state.last_report_at = now;
-  const double level = state.bucket.Level(state.rate, DepthOf(state.burst), now);
+  const double level = state.bucket.Level(state.rate, state.depth, now);
   if (now < state.first_report_at + kTakeoverTime && usage.share < 1) {
     // Another coordinator held the tenant to its limit, so that no burst is left.
     state.inherited_share = std::min(state.inherited_share, usage.share);
@@ -75,7 +71,7 @@
 
 double Coordinator::ShareOf(State& state, base::Instant now) {
   const double demand = DemandAt(state, now);
-  const double level = state.bucket.Level(state.rate, DepthOf(state.burst), now);
+  const double level = state.bucket.Level(state.rate, state.depth, now);
   const double available = state.rate + level / kBalanceSeconds;
   double share = demand <= available ? 1 : std::max(available, 0.0) / demand;
   if (now < state.first_report_at + kTakeoverTime) share = std::min(share, state.inherited_share);
--- a/src/quota/tests/quota_test.cc
+++ b/src/quota/tests/quota_test.cc
@@ -21,6 +21,9 @@
 constexpr std::int64_t kReportMs = 150;
 constexpr std::int64_t kOneWayMs = 55;
 
+/// The limits of operators: a tenth and 20 requests are tolerated in any five seconds.
+constexpr Terms kTerms = {.window = Duration::Seconds(5), .overage = 0.1, .slack = 20};
+
 Instant At(std::int64_t ms) { return Instant() + Duration::Milliseconds(1'000'000 + ms); }
 
 catalog::Tenant MakeTenant(double rate, double burst) {
@@ -87,7 +90,8 @@
 
  private:
   struct Host {
-    explicit Host(std::uint32_t index) : key(index), limiter(base::Mix(index + 1)) {}
+    explicit Host(std::uint32_t index)
+        : key(index), limiter(base::Mix(index + 1)), coordinator(kTerms) {}
 
     std::uint32_t key;
     Limiter limiter;
@@ -190,6 +194,17 @@
   }
 }
 
+// Guards against refusals of a tenant that uses its rate and burst in each window.
+TEST_CASE(
+    "A tenant that has a little more than its rate, and less with its burst, is hardly refused") {
+  for (const double rate : {20.0, 115.0, 839.0}) {
+    Fleet fleet(70, MakeTenant(rate, rate));
+    fleet.Play(20'000, rate * 1.12, 70);
+    INFO(rate << " a second");
+    REQUIRE(static_cast<double>(fleet.refused()) <= 0.03 * static_cast<double>(fleet.admitted()));
+  }
+}
+
 TEST_CASE("A tenant that moves to other hosts inside its limit is hardly refused") {
   Fleet fleet(70, MakeTenant(839, 839));
   fleet.Play(3000, 520, 70);
--- a/src/settings/edge_settings.h
+++ b/src/settings/edge_settings.h
@@ -28,8 +28,8 @@
   bool operator==(const EdgeListen&) const = default;
 };
 
-/// Limits on retries, on the time to stop and on the caching of lookup responses, and the pace at
-/// which targets report.
+/// Limits on retries, on the time to stop and on the caching of lookup responses, the pace at which
+/// targets report, and the terms of tenants' limits.
 struct EdgeBounds {
   /// Retries that a service may use per request, averaged over `retry_window`.
   double retry_ratio = 0.1;
@@ -43,6 +43,10 @@
   /// Interval at which targets renew their entries in the store. An entry expires after three
   /// intervals without a renewal.
   base::Duration target_heartbeat = base::Duration::Milliseconds(1500);
+  /// How tenants' limits are measured; see quota::Terms.
+  base::Duration quota_window{};
+  double quota_overage = 0;
+  double quota_slack = 0;
 
   bool operator==(const EdgeBounds&) const = default;
 };
--- a/src/settings/internal/edge_settings.cc
+++ b/src/settings/internal/edge_settings.cc
@@ -68,6 +68,9 @@
   bounds.stop_time = DurationOr(reader, "stop_time", defaults.stop_time);
   bounds.lookup_ttl = DurationOr(reader, "lookup_ttl", defaults.lookup_ttl);
   bounds.target_heartbeat = DurationOr(reader, "target_heartbeat", defaults.target_heartbeat);
+  bounds.quota_window = DurationOr(reader, "quota_window", defaults.quota_window);
+  bounds.quota_overage = NumberOr(reader, "quota_overage", defaults.quota_overage);
+  bounds.quota_slack = NumberOr(reader, "quota_slack", defaults.quota_slack);
   reader.RefuseUnknownFields();
   return bounds;
 }
--- a/src/settings/tests/edge_settings_test.cc
+++ b/src/settings/tests/edge_settings_test.cc
@@ -23,7 +23,8 @@
   "seeds": ["10.1.0.15:8649", "10.2.0.42:8649"],
   "store": "10.200.1.7:8642",
   "bounds": {"retry_ratio": "0.2", "retry_window": "10s", "retry_allowance": "56", "stop_time": "6s",
-             "lookup_ttl": "", "target_heartbeat": "800ms"},
+             "lookup_ttl": "", "target_heartbeat": "800ms",
+             "quota_window": "5s", "quota_overage": "0.1", "quota_slack": ""},
   "first_start": true,
   "descriptors": 4100
 })";
@@ -57,6 +58,9 @@
   REQUIRE(settings.bounds.retry_allowance == 56);
   REQUIRE(settings.bounds.lookup_ttl == EdgeBounds().lookup_ttl);
   REQUIRE(settings.bounds.target_heartbeat == base::Duration::Milliseconds(800));
+  REQUIRE(settings.bounds.quota_window == base::Duration::Seconds(5));
+  REQUIRE(settings.bounds.quota_overage == 0.1);
+  REQUIRE(settings.bounds.quota_slack == 0);
   REQUIRE(settings.descriptors == 4100);
   REQUIRE(settings.is_first_start);
 }
