--- a/src/fleet/tests/catalog_sync_test.cc
+++ b/src/fleet/tests/catalog_sync_test.cc
@@ -80,6 +80,18 @@
   REQUIRE(fixture.Next({10, 10}, true, 500)->is_behind);
 }
 
+// Guards against a host that starts after the store was restored, and lets withdrawn keys work.
+TEST_CASE(
+    "A host that has read an older configuration at the same revision fetches the newer one") {
+  Fixture fixture;
+  const StorePosition newest = {.operator_records = 10, .targets = 10, .configuration_version = 7};
+  const StorePosition applied = {.operator_records = 10, .targets = 10, .configuration_version = 6};
+  fixture.Hear(1, "a1", true, newest, 5, 0);
+  REQUIRE_FALSE(fixture.Next(applied, true, 0));
+  REQUIRE(fixture.Next(applied, true, 500)->is_behind);
+  REQUIRE_FALSE(fixture.Next(newest, true, 600));
+}
+
 TEST_CASE("A watcher that keeps up with frequent changes is never behind") {
   Fixture fixture;
   for (std::uint64_t i = 1; i < 20; ++i) {
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -8,6 +8,7 @@
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
+#include <cmath>
 #include <exception>
 #include <limits>
 #include <sstream>
@@ -56,9 +57,35 @@
 
 namespace mangonotch::catalog {
 
+/// Encodes a number in as many bytes of seven bits as it needs, the lowest first.
+struct CompactNumber {
+  std::uint64_t& number;
+
+  static constexpr unsigned kBits = 7;
+  static constexpr std::uint8_t kMore = 1U << kBits;
+
+  template <typename Archive>
+  void save(Archive& archive) const {
+    std::uint64_t rest = number;
+    for (; rest >= kMore; rest >>= kBits) archive(static_cast<std::uint8_t>(rest | kMore));
+    archive(static_cast<std::uint8_t>(rest));
+  }
+
+  template <typename Archive>
+  void load(Archive& archive) {
+    number = 0;
+    std::uint8_t byte = kMore;
+    for (unsigned shift = 0; (byte & kMore) != 0 && shift < 64; shift += kBits) {
+      archive(byte);
+      number |= std::uint64_t{byte & (kMore - 1U)} << shift;
+    }
+  }
+};
+
 template <typename Archive>
 void serialize(Archive& archive, StorePosition& it) {
-  archive(it.operator_records, it.targets);
+  archive(CompactNumber{it.operator_records}, CompactNumber{it.targets},
+          CompactNumber{it.configuration_version});
 }
 
 template <typename Archive>
@@ -145,7 +172,7 @@
 
   template <typename Archive>
   void save(Archive& archive) const {
-    archive(static_cast<std::uint16_t>(std::clamp(share, 0.0, 1.0) * kScale + 0.5));
+    archive(static_cast<std::uint16_t>(std::lround(std::clamp(share, 0.0, 1.0) * kScale)));
   }
 
   template <typename Archive>
@@ -184,10 +211,10 @@
 using fleet::Heartbeat;
 
 /// The low byte is the format version; it must change with every change of the encoding.
-constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6804;
+constexpr std::uint32_t kHeartbeatMagic = 0x6d6e6805;
 constexpr std::uint32_t kUsageReportMagic = 0x6d6e7101;
 constexpr std::uint32_t kShareUpdateMagic = 0x6d6e7301;
-constexpr std::uint32_t kChangesMagic = 0x6d6e6304;
+constexpr std::uint32_t kChangesMagic = 0x6d6e6305;
 
 struct WireRelayed {
   Heartbeat heartbeat;
--- a/src/peering/tests/codec_test.cc
+++ b/src/peering/tests/codec_test.cc
@@ -12,7 +12,8 @@
   fleet::Heartbeat heartbeat;
   heartbeat.sender = {.host = "edge-pohjois-pohjanmaa-a-12", .zone = "oul-a"};
   heartbeat.sequence = 1ULL << 40;
-  heartbeat.newest = {.operator_records = 1ULL << 40, .targets = 1ULL << 41};
+  heartbeat.newest = {
+      .operator_records = 1ULL << 40, .targets = 1ULL << 41, .configuration_version = 5};
   for (std::uint64_t i = 0; i < kMaxLoads + 10; ++i) heartbeat.loads.push_back({i << 40, 9});
   heartbeat.contacts.resize(kMaxContacts + 10);
   heartbeat.contacts.front() = {.address = *base::ParseIpAddress("10.1.2.3"), .port = 7};
@@ -32,6 +33,14 @@
   REQUIRE(DecodeHeartbeat(bytes) == heartbeat);
 }
 
+TEST_CASE("Positions of any size in the store's history survive encoding") {
+  fleet::Heartbeat heartbeat;
+  for (const std::uint64_t it : {0ULL, 127ULL, 128ULL, 1ULL << 48, ~0ULL}) {
+    heartbeat.newest = {.operator_records = it, .targets = it / 3, .configuration_version = it};
+    REQUIRE(DecodeHeartbeat(EncodeHeartbeat(heartbeat)) == heartbeat);
+  }
+}
+
 TEST_CASE("Relayed heartbeats are encoded without their lists, as many as fit into a datagram") {
   fleet::Heartbeat heartbeat = MakeOversizedHeartbeat();
   fleet::Heartbeat relayed = MakeOversizedHeartbeat();
