Keep what the older copy of a restored store lacks

A listing of a newer era begins the recovery time however short the interruption was. Until its end, evacuations and targets that the copy lacks stay. Targets that were draining stay draining in the same incarnation, and those that had left while draining are not listed again. Targets that a host of an older era names are not merged. A higher configuration version is merged at any revision.

--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -13,15 +13,38 @@
 /// a full copy.
 constexpr std::size_t kMaxRemovals = 512;
 
+/// Whether the store has been restored since `known`; 0 if nothing is known.
+bool IsNewEra(StoreRevision known, StoreRevision revision) {
+  return known != 0 && catalog::EraOf(revision) > catalog::EraOf(known);
+}
+
+/// The era itself is news to hosts that have not seen it, also if the copy has no records.
+StoreRevision StartOfEra(StoreRevision revision) {
+  return catalog::MakeRevision(catalog::EraOf(revision), 0);
+}
+
 }  // namespace
 
+void Registry::ObserveTargetsEra(StoreRevision revision, base::Instant now) {
+  if (IsNewEra(std::max(targets_revision_, newest_.targets), revision)) outage_.OnRestored(now);
+  AdvanceNewest({.targets = StartOfEra(revision)});
+}
+
 void Registry::PutTarget(const catalog::Target& target, StoreRevision revision) {
   AdvanceNewest({.targets = revision});
   ApplyTarget(target, revision);
 }
 
+bool Registry::HasDrainedBefore(const Entry& entry, const catalog::Target& target,
+                                StoreRevision revision) {
+  const bool is_same_incarnation =
+      target.started_at_ms != 0 && entry.target.started_at_ms == target.started_at_ms;
+  const bool is_restored = IsNewEra(entry.revision, revision) && entry.target.is_draining;
+  return is_same_incarnation && (is_restored || entry.has_drained_before_restore);
+}
+
 void Registry::ApplyTarget(const catalog::Target& target, StoreRevision revision) {
-  if (LastRemovalRevision(target.id) >= revision) return;
+  if (LastRemovalRevision(target.id) >= revision || left_targets_.HasLeft(target, revision)) return;
   const auto [it, is_new] = targets_.try_emplace(target.id);
   Entry& entry = it->second;
   if (!is_new && revision <= entry.revision) return;
@@ -30,7 +53,10 @@
   if (!is_new && entry.target.started_at_ms == target.started_at_ms) {
     next.cold_until = std::max(next.cold_until, entry.target.cold_until);
   }
-  const bool has_changed = is_new || !(entry.target == next);
+  entry.has_drained_before_restore = !is_new && HasDrainedBefore(entry, target, revision);
+  next.is_draining = next.is_draining || entry.has_drained_before_restore;
+  // Read in a new era, it is sent on in any case: a follower may have dropped the older record.
+  const bool has_changed = is_new || IsNewEra(entry.revision, revision) || !(entry.target == next);
   if (has_changed) entry.sequence = ++sequence_;
   entry.target = std::move(next);
   entry.revision = revision;
@@ -46,6 +72,7 @@
 }
 
 Registry::Entries::iterator Registry::Erase(Entries::iterator it, StoreRevision revision) {
+  if (it->second.target.is_draining) left_targets_.Add(it->second.target, revision);
   removals_.emplace_back(++sequence_, TargetRemoval{.id = it->first, .revision = revision});
   if (removals_.size() > kMaxRemovals) {
     compacted_sequence_ = removals_.front().first;
@@ -92,6 +119,7 @@
       configuration && (!configuration_ || configuration->version > configuration_->version);
   if (!is_newer) return;
   configuration_ = std::move(configuration);
+  AdvanceNewest({.configuration_version = configuration_->version});
   operator_sequence_ = ++sequence_;
 }
 
@@ -104,6 +132,15 @@
   SetEvacuated(zone, is_evacuated, now);
 }
 
+void Registry::KeepEvacuations(std::span<const std::string> listed, base::Instant now) {
+  // Sent on also if nothing else changes: each host has to learn that the store lacks them.
+  operator_sequence_ = ++sequence_;
+  for (const std::string& it : evacuated_zones_) {
+    const bool is_listed = std::find(listed.begin(), listed.end(), it) != listed.end();
+    if (!is_listed) kept_evacuations_.insert_or_assign(it, outage_.recovery_end().value_or(now));
+  }
+}
+
 base::Duration Registry::ColdTimeOf(std::string_view service) const {
   if (!configuration_) return {};
   for (const catalog::Service& it : configuration_->services) {
@@ -113,8 +150,11 @@
 }
 
 void Registry::SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now) {
+  const auto kept = kept_evacuations_.find(zone);
+  const bool was_kept = kept != kept_evacuations_.end();
+  if (was_kept) kept_evacuations_.erase(kept);
   const bool was_evacuated = evacuated_zones_.contains(zone);
-  if (was_evacuated == is_evacuated) return;
+  if (was_evacuated == is_evacuated && !was_kept) return;
   operator_sequence_ = ++sequence_;
   if (is_evacuated) {
     evacuated_zones_.emplace(zone);
@@ -142,6 +182,7 @@
 void Registry::ReplaceTargets(std::span<const catalog::Target> targets, StoreRevision revision,
                               base::Instant now) {
   if (revision < targets_revision_) return;
+  ObserveTargetsEra(revision, now);
   std::set<std::string_view> listed;
   for (const catalog::Target& it : targets) {
     listed.insert(it.id);
@@ -165,11 +206,16 @@
                                       std::span<const std::string> evacuated_zones,
                                       StoreRevision revision, base::Instant now) {
   if (revision < operator_revision_) return;
+  if (IsNewEra(operator_revision_, revision)) {
+    outage_.OnRestored(now);
+    KeepEvacuations(evacuated_zones, now);
+  }
   AdvanceOperatorRecords(revision);
+  AdvanceNewest({.operator_records = StartOfEra(revision)});
   ApplyConfiguration(std::move(configuration));
   const std::set<std::string, std::less<>> next(evacuated_zones.begin(), evacuated_zones.end());
   for (const std::string& it : std::vector(evacuated_zones_.begin(), evacuated_zones_.end())) {
-    if (!next.contains(it)) SetEvacuated(it, false, now);
+    if (!next.contains(it) && !kept_evacuations_.contains(it)) SetEvacuated(it, false, now);
   }
   for (const std::string& it : next) SetEvacuated(it, true, now);
 }
@@ -191,7 +237,9 @@
   }
   if (changes.is_full || operator_sequence_ > sequence) {
     changes.configuration = configuration_;
-    changes.evacuated_zones.assign(evacuated_zones_.begin(), evacuated_zones_.end());
+    for (const std::string& it : evacuated_zones_) {
+      if (!kept_evacuations_.contains(it)) changes.evacuated_zones.push_back(it);
+    }
   }
   return changes;
 }
@@ -200,7 +248,20 @@
   if (changes.configuration && changes.operator_revision > operator_revision_) {
     ReplaceOperatorRecords(changes.configuration, changes.evacuated_zones,
                            changes.operator_revision, now);
+  } else {
+    // At the same revision, a host that has started after a restore knows an older version.
+    ApplyConfiguration(changes.configuration);
   }
+  // Targets of an earlier era may have left in it.
+  const bool is_era_known =
+      catalog::EraOf(changes.targets_revision) >= catalog::EraOf(targets_revision_);
+  if (is_era_known) MergeTargets(changes, now);
+  AdvanceOperatorRecords(changes.operator_revision);
+  AdvanceNewest(changes.newest);
+}
+
+void Registry::MergeTargets(const CatalogChanges& changes, base::Instant now) {
+  ObserveTargetsEra(changes.targets_revision, now);
   std::set<std::string_view> listed;
   for (const TargetChange& it : changes.targets) {
     listed.insert(it.target.id);
@@ -214,21 +275,26 @@
   }
   if (changes.is_full) {
     for (auto it = targets_.begin(); it != targets_.end();) {
-      const bool is_gone =
-          !listed.contains(it->first) && it->second.revision <= changes.targets_revision;
-      it = is_gone ? Erase(it, changes.targets_revision) : std::next(it);
+      Entry& entry = it->second;
+      if (listed.contains(it->first) || entry.revision > changes.targets_revision) {
+        ++it;
+        continue;
+      }
+      const auto keep_until =
+          IsNewEra(entry.revision, changes.targets_revision) ? KeepUntil(entry, now) : std::nullopt;
+      if (keep_until) entry.keep_until = *keep_until;
+      it = keep_until ? std::next(it) : Erase(it, changes.targets_revision);
     }
   }
   AdvanceTargets(changes.targets_revision);
-  AdvanceOperatorRecords(changes.operator_revision);
-  AdvanceNewest(changes.newest);
 }
 
 base::Instant Registry::Expire(base::Instant now) {
-  base::Instant next = base::Instant::Never();
+  base::Instant next = ExpireEvacuations(now);
   for (auto it = targets_.begin(); it != targets_.end();) {
     if (it->second.keep_until <= now) {
-      it = Erase(it, it->second.revision);
+      // Not the entry's own revision: other hosts may know a later record of the target.
+      it = Erase(it, std::max(it->second.revision, targets_revision_));
       continue;
     }
     next = std::min(next, it->second.keep_until);
@@ -237,6 +303,20 @@
   return next;
 }
 
+base::Instant Registry::ExpireEvacuations(base::Instant now) {
+  base::Instant next = base::Instant::Never();
+  std::vector<std::string> expired;
+  for (const auto& [zone, keep_until] : kept_evacuations_) {
+    if (keep_until <= now) {
+      expired.push_back(zone);
+    } else {
+      next = std::min(next, keep_until);
+    }
+  }
+  for (const std::string& it : expired) SetEvacuated(it, false, now);
+  return next;
+}
+
 catalog::CatalogPtr Registry::TakeUpdatedCatalog() {
   if (std::exchange(published_sequence_, sequence_) == sequence_) return nullptr;
   auto catalog = std::make_shared<catalog::Catalog>();
--- a/src/discovery/internal/store_outage.cc
+++ b/src/discovery/internal/store_outage.cc
@@ -23,6 +23,13 @@
 }
 
 std::optional<base::Instant> StoreOutage::recovery_end() const {
+  const std::optional<base::Instant> outage_end = outage_recovery_end();
+  if (!restored_at_) return outage_end;
+  const base::Instant end = *restored_at_ + timing_.recovery_time;
+  return std::max(end, outage_end.value_or(end));
+}
+
+std::optional<base::Instant> StoreOutage::outage_recovery_end() const {
   if (!last_) return std::nullopt;
   if (last_->served_since - last_->lost_at < timing_.min_outage) return std::nullopt;
   return last_->served_since + timing_.recovery_time;
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -2,11 +2,13 @@
 // not access the store and does not depend on any encoding.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -16,6 +18,7 @@
 #include "base/instant.h"
 #include "catalog/catalog.h"
 #include "catalog/store_position.h"
+#include "discovery/left_targets.h"
 #include "discovery/store_outage.h"
 
 namespace mangonotch::discovery {
@@ -47,7 +50,8 @@
   StoreRevision operator_revision = 0;
   /// Null if the sender has no configuration or its operator records have not changed.
   std::shared_ptr<const catalog::Configuration> configuration{};
-  /// Ignored without a configuration.
+  /// Ignored without a configuration. Without those that are kept in force after a restore: each
+  /// host keeps them itself.
   std::vector<std::string> evacuated_zones{};
   /// Newest changes that the sender has applied.
   StorePosition newest{};
@@ -59,7 +63,9 @@
 
   // Call these in the order of the revisions. A target change that is not newer than the known one,
   // a configuration without a higher version and an evacuation older than the applied operator
-  // records are ignored.
+  // records are ignored. A revision of a newer era means that the store has been restored from an
+  // older copy. What the copy lacks is then kept for the recovery time, and targets that drained
+  // or left in the era before do not come back into use.
 
   void PutTarget(const catalog::Target& target, StoreRevision revision);
   /// A target that is removed during the recovery from a store outage without having been draining
@@ -100,7 +106,9 @@
 
   /// All changes up to this position have been applied.
   StorePosition applied() const {
-    return {.operator_records = operator_revision_, .targets = targets_revision_};
+    return {.operator_records = operator_revision_,
+            .targets = targets_revision_,
+            .configuration_version = configuration_ ? configuration_->version : 0};
   }
   /// The newest changes that have been applied; never after `applied()`, which also advances while
   /// nothing changes. Other hosts that have applied less are behind this one. The later pages of a
@@ -110,6 +118,10 @@
   /// Forwards to StoreOutage::OnServedElsewhere. Targets that are kept by mistake are removed by
   /// the next call of Expire.
   void OnStoreServedElsewhere(base::Instant since);
+  /// The highest era of the records known to this host.
+  std::uint64_t era() const {
+    return catalog::EraOf(std::max(operator_revision_, targets_revision_));
+  }
   /// A target that the store removes now is kept for a while; see RemoveTarget.
   bool IsRecovering(base::Instant now) const {
     const auto end = outage_.recovery_end();
@@ -131,11 +143,20 @@
     /// Set for an entry that the store has removed and that is kept until the end of the recovery
     /// from an outage.
     base::Instant keep_until = base::Instant::Never();
+    /// The target was draining in an earlier era. The record of the older copy must not undo it, so
+    /// that it drains until another incarnation is listed.
+    bool has_drained_before_restore = false;
   };
 
   using Entries = std::map<std::string, Entry, std::less<>>;
 
+  /// Begins the recovery from a restore if `revision`, up to which targets are read now, is of a
+  /// newer era.
+  void ObserveTargetsEra(StoreRevision revision, base::Instant now);
   void ApplyTarget(const catalog::Target& target, StoreRevision revision);
+  /// Whether the target, whose record at `revision` is `target`, was draining before a restore.
+  static bool HasDrainedBefore(const Entry& entry, const catalog::Target& target,
+                               StoreRevision revision);
   void ApplyConfiguration(std::shared_ptr<const catalog::Configuration> configuration);
 
   /// Revision of the target's latest recorded removal, 0 if there is none. Older records of the
@@ -144,9 +165,14 @@
   /// The end of the recovery for an entry that is to be kept until then; nullopt for one that is to
   /// be removed at once.
   std::optional<base::Instant> KeepUntil(const Entry& entry, base::Instant now) const;
+  void MergeTargets(const CatalogChanges& changes, base::Instant now);
   /// Removes the entry, records the removal and returns the next entry.
   Entries::iterator Erase(Entries::iterator it, StoreRevision revision);
   void SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now);
+  /// Keeps evacuations in force that the copy lacks which the store was restored from.
+  void KeepEvacuations(std::span<const std::string> listed, base::Instant now);
+  /// Ends kept evacuations whose time has expired; returns the time of the next expiry.
+  base::Instant ExpireEvacuations(base::Instant now);
   base::Duration ColdTimeOf(std::string_view service) const;
 
   StoreOutage outage_;
@@ -155,7 +181,10 @@
   StorePosition newest_;
   std::shared_ptr<const catalog::Configuration> configuration_;
   Entries targets_;
+  LeftTargets left_targets_;
   std::set<std::string, std::less<>> evacuated_zones_;
+  /// Those of `evacuated_zones_` that the restored store lacks, with the end of the recovery.
+  std::map<std::string, base::Instant, std::less<>> kept_evacuations_;
   std::uint64_t sequence_ = 0;
   /// Sequence number of the last change of the configuration or the evacuated zones.
   std::uint64_t operator_sequence_ = 0;
--- a/src/discovery/store_outage.h
+++ b/src/discovery/store_outage.h
@@ -1,7 +1,8 @@
-// Decides whether entries that the store has removed may have expired in an outage of the store
-// although their targets live. A host sees only that its own calls fail. The fault may as well be
-// with its own link or with one connection, while the store and the targets are well. The other
-// hosts know whether the store has served them meanwhile.
+// Decides whether entries that the store has removed may have expired in an outage of the store, or
+// may be missing from an older copy that it was restored from, although their targets live. A host
+// sees only that its own calls fail. The fault may as well be with its own link or with one
+// connection, while the store and the targets are well. The other hosts know whether the store has
+// served them meanwhile.
 #pragma once
 
 #include <optional>
@@ -29,6 +30,10 @@
   /// `regained_at()`.
   void OnServedElsewhere(base::Instant since);
 
+  /// The store has been restored from an older copy. Unlike an outage, this is certain, and may
+  /// come with an interruption of any length.
+  void OnRestored(base::Instant now) { restored_at_ = now; }
+
   /// For how long the store has served this host without an interruption that may have been an
   /// outage. Zero if an outage may have begun since the last answer: a watch that waits cannot
   /// tell.
@@ -36,8 +41,10 @@
                              base::Instant now) const;
 
   /// Until then, a target without an entry may be a live one that has not registered again. nullopt
-  /// if no outage has been seen.
+  /// if no outage or restore has been seen.
   std::optional<base::Instant> recovery_end() const;
+  /// As `recovery_end()`, for outages only, which other hosts may deny.
+  std::optional<base::Instant> outage_recovery_end() const;
   /// End of the last interruption of this host's calls that may have been an outage; nullopt before
   /// the first.
   std::optional<base::Instant> regained_at() const;
@@ -53,6 +60,8 @@
   OutageTiming timing_;
   /// The last one that was long enough for an outage.
   std::optional<Interruption> last_;
+  /// When this host last learned of a restore.
+  std::optional<base::Instant> restored_at_;
 };
 
 }  // namespace mangonotch::discovery
