--- a/src/app/internal/catalog_report.cc
+++ b/src/app/internal/catalog_report.cc
@@ -23,8 +23,9 @@
                 {"draining", draining},
                 {"evacuated", evacuated},
                 {"source", source},
-                {"operator_revision", registry.applied().operator_records},
-                {"targets_revision", registry.applied().targets}});
+                {"era", registry.era()},
+                {"operator_revision", catalog::RevisionInEra(registry.applied().operator_records)},
+                {"targets_revision", catalog::RevisionInEra(registry.applied().targets)}});
 }
 
 }  // namespace mangonotch::app
--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -197,7 +197,8 @@
 
 void EdgeHost::Control::ReviewOutage() {
   const base::Instant now = http1::Now();
-  if (!registry_.IsRecovering(now)) return;
+  const auto recovery_end = registry_.outage().outage_recovery_end();
+  if (!recovery_end || now >= *recovery_end) return;
   const base::Instant since = members_.StoreServedSince(*registry_.outage().regained_at(), now);
   if (since == base::Instant::Never()) return;
   registry_.OnStoreServedElsewhere(since);
--- a/src/app/internal/host_gauges.cc
+++ b/src/app/internal/host_gauges.cc
@@ -8,6 +8,8 @@
                                                "Version of the configuration in force")),
       targets_known_(
           registry.AddGauge("mangonotch_targets", "Known targets, including draining ones")),
+      store_era_(registry.AddGauge("mangonotch_store_era",
+                                   "Era of the store's records that are known to this host")),
       operator_revision_(registry.AddGauge(
           "mangonotch_operator_revision",
           "Store revision up to which the operators' records are known to this host")),
@@ -36,8 +38,10 @@
   const std::uint64_t version = catalog.configuration ? catalog.configuration->version : 0;
   configuration_version_.Set(static_cast<double>(version));
   targets_known_.Set(static_cast<double>(catalog.targets.size()));
-  operator_revision_.Set(static_cast<double>(registry.applied().operator_records));
-  targets_revision_.Set(static_cast<double>(registry.applied().targets));
+  const catalog::StorePosition applied = registry.applied();
+  store_era_.Set(static_cast<double>(registry.era()));
+  operator_revision_.Set(static_cast<double>(catalog::RevisionInEra(applied.operator_records)));
+  targets_revision_.Set(static_cast<double>(catalog::RevisionInEra(applied.targets)));
 }
 
 void HostGauges::ReportControl(std::uint32_t hosts_live, std::uint64_t log_lines_dropped) {
--- a/src/app/internal/host_gauges.h
+++ b/src/app/internal/host_gauges.h
@@ -23,6 +23,7 @@
  private:
   metrics::Gauge configuration_version_;
   metrics::Gauge targets_known_;
+  metrics::Gauge store_era_;
   metrics::Gauge operator_revision_;
   metrics::Gauge targets_revision_;
   metrics::Gauge hosts_live_;
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -187,12 +187,14 @@
 void Gossip::LogSource(const fleet::CatalogRequest& request) {
   if (request.incarnation == logged_source_) return;
   logged_source_ = request.incarnation;
-  logging::Log(logging::Level::kInfo, "catalog_source",
-               {{"host", request.source.host},
-                {"since", request.since},
-                {"behind", request.is_behind},
-                {"own_operator_revision", registry_.applied().operator_records},
-                {"own_targets_revision", registry_.applied().targets}});
+  logging::Log(
+      logging::Level::kInfo, "catalog_source",
+      {{"host", request.source.host},
+       {"since", request.since},
+       {"behind", request.is_behind},
+       {"own_era", registry_.era()},
+       {"own_operator_revision", catalog::RevisionInEra(registry_.applied().operator_records)},
+       {"own_targets_revision", catalog::RevisionInEra(registry_.applied().targets)}});
 }
 
 void Gossip::CloseFetch() {
