--- a/tests/edge_tests/edge_deployment.cc
+++ b/tests/edge_tests/edge_deployment.cc
@@ -44,24 +44,34 @@
 }
 
 void EdgeDeployment::StartHost(const std::string& folder, int number) {
+  const std::string name = "host-" + std::to_string(number);
   EdgeProcess host{.ip = network_.Host(number),
+                   .settings_path = folder + "/" + name + ".jsonc",
+                   .log_path = folder + "/" + name + ".log",
                    .store_proxy = std::make_unique<support::FaultProxy>(context_, LocalPort(0),
                                                                         LocalPort(store_.port())),
                    .process = nullptr};
-  const std::string name = "host-" + std::to_string(number);
-  const std::string settings = folder + "/" + name + ".jsonc";
-  support::WriteEdgeSettings(settings, {.name = name,
-                                        .ip = host.ip,
-                                        .region = "north",
-                                        .seed_ip = network_.Host(1),
-                                        .store = LocalPort(host.store_proxy->port())});
-  const std::string log = folder + "/" + name + ".log";
-  std::remove(log.c_str());  // Of an earlier run; it need not exist.
-  const std::vector<std::string> argv = {MANGONOTCH_BINARY, "edge", settings};
-  host.process = std::make_unique<support::Process>(argv, log);
+  support::WriteEdgeSettings(host.settings_path, {.name = name,
+                                                  .ip = host.ip,
+                                                  .region = "north",
+                                                  .seed_ip = network_.Host(1),
+                                                  .store = LocalPort(host.store_proxy->port())});
+  std::remove(host.log_path.c_str());  // Of an earlier run; it need not exist.
+  StartProcess(host);
   hosts_.push_back(std::move(host));
 }
 
+void EdgeDeployment::StartProcess(EdgeProcess& host) {
+  const std::vector<std::string> argv = {MANGONOTCH_BINARY, "edge", host.settings_path};
+  host.process = std::make_unique<support::Process>(argv, host.log_path);
+}
+
+void EdgeDeployment::Restart(std::size_t i) {
+  EdgeProcess& host = hosts_[i];
+  host.process->Kill();
+  StartProcess(host);
+}
+
 void EdgeDeployment::RunFor(Duration d) {
   context_.restart();
   context_.run_for(http1::ToChrono(d));
--- a/tests/edge_tests/edge_deployment.h
+++ b/tests/edge_tests/edge_deployment.h
@@ -26,6 +26,8 @@
   }
 
   std::string ip;
+  std::string settings_path;
+  std::string log_path;
   std::unique_ptr<support::FaultProxy> store_proxy;
   std::unique_ptr<support::Process> process;
 };
@@ -51,6 +53,9 @@
   /// Runs until all hosts know the workers; false when they do not in time.
   bool RunUntilReady();
 
+  /// Kills the host's process and starts another one in its place, which adds to the same log.
+  void Restart(std::size_t i);
+
   EdgeProcess& host(std::size_t i) { return hosts_[i]; }
   platform::testing::StandInWorker& worker(std::size_t i) { return *workers_[i]; }
   platform::testing::StandInStore& store() { return store_; }
@@ -58,6 +63,7 @@
 
  private:
   void StartHost(const std::string& folder, int number);
+  static void StartProcess(EdgeProcess& host);
 
   boost::asio::io_context context_;
   support::LoopbackNetwork network_;
