Wait in the restore test for the end of the kept evacuation

The line that the test waited for had been logged before the evacuation began, so the test passed without its end. It now looks only at the log of the new era.

--- a/tests/edge_tests/restored_store_test.cc
+++ b/tests/edge_tests/restored_store_test.cc
@@ -1,6 +1,7 @@
 // Restores the store from an older copy while two hosts run. Guards against a host that takes the
 // older state for news, or that no longer follows the store.
 #include <catch2/catch.hpp>
+#include <string_view>
 
 #include "tests/edge_tests/edge_deployment.h"
 
@@ -65,8 +66,11 @@
   REQUIRE(RunUntilBothHaveLogged(deployment, "store_restored from_era=0 era=1"));
   PutWorker(deployment, 0, false);
   // The evacuation is not written again.
-  REQUIRE(
-      RunUntilBothHaveLogged(deployment, "configuration=2 targets=2 draining=1 evacuated=\"\""));
+  REQUIRE(deployment.RunUntil(kMaxTime, [&] {
+    const std::string_view ended = "configuration=2 targets=2 draining=1 evacuated=\"\"";
+    return LogSinceRestore(deployment.host(0)).find(ended) != std::string::npos &&
+           LogSinceRestore(deployment.host(1)).find(ended) != std::string::npos;
+  }));
   for (std::size_t i = 0; i < 2; ++i) {
     const std::string log = LogSinceRestore(deployment.host(i));
     INFO(log);
