--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -142,7 +142,7 @@
           context_, store_, settings.host, settings.listen.peers,
           [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
       gossip_(context_, members_, registry_, RandomIncarnation(), GossipCallbacks()),
-      quotas_(context_, members_, gossip_, traffic_, metrics_),
+      quotas_(context_, members_, gossip_, traffic_, metrics_, QuotaTermsOf(settings.bounds)),
       readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness),
       lookup_(context_, settings.listen.lookup, *this, &ReplyLookup),
       metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics),
@@ -197,7 +197,8 @@
 
 void EdgeHost::Control::ReviewOutage() {
   const base::Instant now = http1::Now();
-  if (!registry_.IsRecovering(now)) return;
+  const auto recovery_end = registry_.outage().outage_recovery_end();
+  if (!recovery_end || now >= *recovery_end) return;
   const base::Instant since = members_.StoreServedSince(*registry_.outage().regained_at(), now);
   if (since == base::Instant::Never()) return;
   registry_.OnStoreServedElsewhere(since);
