--- a/src/steering/internal/placement.cc
+++ b/src/steering/internal/placement.cc
@@ -22,9 +22,9 @@
 /// Probability that the second of two homes has the object in its cache: it gets few requests.
 constexpr double kSecondHomeHitProbability = 0.75;
 /// Decrease of the probability from one home to the next of an object with the most homes that one
-/// in average demand has. Objects have that many homes only where caches have room, and a small
-/// decrease lets the shorter queue decide among the homes.
-constexpr double kHitProbabilityStep = 0.05;
+/// in average demand has. A further home is used when the ones before are busy; with a smaller
+/// decrease, chance differences spread requests over all homes, which then miss more often.
+constexpr double kHitProbabilityStep = 0.25;
 /// The probabilities of the targets that follow the homes. Targets of further ranks have the object
 /// only by chance, which counts as 0.
 constexpr std::array<double, 2> kHitProbabilityAfterHomes = {0.2, 0.1};
