Show that crowds outside the limits exhaust an entry host's memory

Adds tests that start an entry host and run crowds of 100 callers (and targets that do not read) against it. The bounds are those of a machine with 64 MiB and 1,024 descriptors: peak resident memory, open descriptors, and one ordinary request answered afterwards.

Small crowds cannot bring down the process here, because the machine of the test has more memory than the bound.

--- a/src/http1/tests/loopback.h
+++ b/src/http1/tests/loopback.h
@@ -58,7 +58,15 @@
   /// Sends as much of `bytes` as the socket takes; returns how much. 0 when the peer has closed.
   std::size_t SendSome(const std::string& bytes) {
     boost::system::error_code ec;
-    return socket_.write_some(boost::asio::buffer(bytes), ec);
+    const std::size_t n = socket_.write_some(boost::asio::buffer(bytes), ec);
+    has_failed_ = has_failed_ || (ec && ec != boost::asio::error::would_block);
+    return n;
+  }
+  /// True when SendSome() has met a closed or reset connection.
+  bool HasFailed() const { return has_failed_; }
+  /// Sets the size of the kernel's receive buffer, so that little data is accepted unread.
+  void SetReceiveBuffer(int bytes) {
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(bytes));
   }
   void Close() { socket_.close(); }
   /// Closes the connection with a TCP reset.
@@ -93,6 +101,7 @@
   boost::asio::ip::tcp::socket socket_;
   std::string received_;
   bool is_closed_ = false;
+  bool has_failed_ = false;
 };
 
 }  // namespace mangonotch::http1
--- a/tests/edge_tests/edge_deployment.h
+++ b/tests/edge_tests/edge_deployment.h
@@ -38,12 +38,14 @@
 
   /// Runs the stand-ins for `d`.
   void RunFor(base::Duration d);
-  /// Runs the stand-ins until `condition` holds; false when it does not hold within `limit`.
+  /// Runs the stand-ins until `condition` holds, which is checked every `interval`; false when it
+  /// does not hold within `limit`.
   template <typename Condition>
-  bool RunUntil(base::Duration limit, Condition condition) {
+  bool RunUntil(base::Duration limit, Condition condition,
+                base::Duration interval = base::Duration::Milliseconds(20)) {
     const base::Instant end = http1::Now() + limit;
     while (http1::Now() < end) {
-      RunFor(base::Duration::Milliseconds(20));
+      RunFor(interval);
       if (condition()) return true;
     }
     return false;
