Bound the memory that callers and targets make an entry host hold

A host kept whatever callers sent or did not take: the parser left unfinished trailers and chunk extensions in a buffer without limit, bodies and requests waiting for answers were bounded only one by one, and a caller that did not read its answers kept them for ever.

http1::Server now reserves what each connection holds in a byte budget. When it is used up, the largest unfinished body is refused with 503, or the largest untaken responses lose their connection, stalled ones first; large connections leave a quarter to small ones. Trailers and chunk headers count as headers (431), a request has 60 s to arrive (408), and a response that is not taken for 20 s ends its connection. Bodies are no longer copied on their way to targets and callers where it can be avoided, and freed blocks of 64 KiB or more return to the kernel.

The budgets derive from the new setting memory_mb, at most half of it together. The tests of crowds now state it in their settings; crowds and bounds are unchanged.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -51,9 +51,6 @@
 constexpr Duration kStopCheckInterval = Duration::Milliseconds(50);
 constexpr Duration kSettingsCheckInterval = Duration::Seconds(1);
 constexpr Duration kLogFlushInterval = Duration::Milliseconds(200);
-/// Divisor that gives the share of file descriptors for caller connections; the rest is for
-/// targets, the store and files.
-constexpr std::size_t kCallerDescriptorsDivisor = 2;
 
 }  // namespace
 
@@ -106,6 +103,8 @@
   platform::HostRegistration host_registration_;
   peering::Gossip gossip_;
   QuotaExchange quotas_;
+  /// For the callers of the three addresses below.
+  std::shared_ptr<http1::ByteBudget> caller_budget_;
   Listener readiness_;
   Listener lookup_;
   Listener metrics_server_;
@@ -134,8 +133,8 @@
                 .peers = settings.listen.peers,
                 .link_mbps = settings.link_mbps},
                settings.zones, {}),
-      traffic_(settings.listen.callers, EngineSettingsOf(settings),
-               settings.descriptors / kCallerDescriptorsDivisor, metrics_),
+      traffic_(settings.listen.callers, EngineSettingsOf(settings), ProxyLimitsOf(settings),
+               metrics_),
       store_(context_, settings.store, metrics_),
       store_watches_(context_, store_, SinkContextOf()),
       host_registration_(
@@ -143,9 +142,10 @@
           [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
       gossip_(context_, members_, registry_, RandomIncarnation(), GossipCallbacks()),
       quotas_(context_, members_, gossip_, traffic_, metrics_),
-      readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness),
-      lookup_(context_, settings.listen.lookup, *this, &ReplyLookup),
-      metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics),
+      caller_budget_(std::make_shared<http1::ByteBudget>(ControlCallerBytesOf(settings))),
+      readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness, caller_budget_),
+      lookup_(context_, settings.listen.lookup, *this, &ReplyLookup, caller_budget_),
+      metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics, caller_budget_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       expire_timer_(context_),
       stop_timer_(context_),
--- a/src/app/internal/edge_parameters.cc
+++ b/src/app/internal/edge_parameters.cc
@@ -1,6 +1,7 @@
 // Conversion of settings.
 #include "app/internal/edge_parameters.h"
 
+#include <algorithm>
 #include <cstdint>
 
 #include "base/hash.h"
@@ -16,6 +17,19 @@
 /// An entry expires after three intervals without a renewal, and the last renewal before an outage
 /// was up to one interval old.
 constexpr std::int64_t kMinOutageIntervals = 2;
+/// Divisor that gives the share of file descriptors for caller connections; the rest is for
+/// targets, the store and files.
+constexpr std::size_t kCallerDescriptorsDivisor = 2;
+constexpr std::size_t kMiB = std::size_t{1024} * 1024;
+constexpr std::size_t kDefaultControlCallerBytes = 64 * kMiB;
+// Shares of the machine's memory; together at most a half. The other half is for the program, its
+// connections to targets, the kernel's socket buffers and copies in the making.
+constexpr std::size_t kCallerShare = 5;   // Sixteenths.
+constexpr std::size_t kTargetShare = 2;   // Sixteenths.
+constexpr std::size_t kControlShare = 1;  // Sixteenths.
+constexpr std::size_t kShares = 16;
+/// The part of each target's answer that is not reserved, as a part of all of their share.
+constexpr std::size_t kUnreservedDivisor = 256;
 constexpr Duration kMaxWatchDelay = Duration::Milliseconds(2000);
 
 }  // namespace
@@ -40,6 +54,24 @@
   return engine;
 }
 
+edge::ProxyLimits ProxyLimitsOf(const settings::EdgeSettings& settings) {
+  edge::ProxyLimits limits;
+  limits.connections = settings.descriptors / kCallerDescriptorsDivisor;
+  if (settings.memory_mb == 0) return limits;
+  const std::size_t share_bytes = settings.memory_mb * kMiB / kShares;
+  edge::PendingBodyLimits& bodies = limits.target_bodies;
+  limits.caller_bytes = share_bytes * kCallerShare;
+  bodies.total_bytes = std::min(bodies.total_bytes, share_bytes * kTargetShare);
+  bodies.unreserved_bytes =
+      std::min(bodies.unreserved_bytes, bodies.total_bytes / kUnreservedDivisor);
+  return limits;
+}
+
+std::size_t ControlCallerBytesOf(const settings::EdgeSettings& settings) {
+  if (settings.memory_mb == 0) return kDefaultControlCallerBytes;
+  return settings.memory_mb * kMiB / kShares * kControlShare;
+}
+
 Duration WatchDelayOf(std::string_view host) {
   constexpr std::uint64_t kSteps = 1000;
   const auto step = static_cast<std::int64_t>(base::Hash(host) % kSteps);
--- a/src/app/internal/edge_parameters.h
+++ b/src/app/internal/edge_parameters.h
@@ -7,6 +7,7 @@
 #include "base/duration.h"
 #include "base/endpoint.h"
 #include "discovery/store_outage.h"
+#include "edge/request_proxy.h"
 #include "settings/edge_settings.h"
 #include "steering/engine.h"
 #include "steering/retry_budget.h"
@@ -16,6 +17,10 @@
 discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds);
 steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds);
 steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings);
+/// The shares of the machine's descriptors and memory for callers and targets.
+edge::ProxyLimits ProxyLimitsOf(const settings::EdgeSettings& settings);
+/// Memory for callers of the readiness, look-up and metrics addresses.
+std::size_t ControlCallerBytesOf(const settings::EdgeSettings& settings);
 /// When all hosts start together, a host leaves the store to others for this time, which follows
 /// from its name: most of them hear in time that others watch it.
 base::Duration WatchDelayOf(std::string_view host);
--- a/src/app/internal/host_gauges.cc
+++ b/src/app/internal/host_gauges.cc
@@ -1,8 +1,26 @@
 // Implementation of app::HostGauges.
 #include "app/internal/host_gauges.h"
 
+#include <string_view>
+
 namespace mangonotch::app {
 
+namespace {
+
+metrics::Gauge RejectionGauge(metrics::Registry& registry, std::string_view reason) {
+  return registry.AddGauge("mangonotch_caller_rejections",
+                           "Requests refused while they were read, since the start",
+                           {{"reason", reason}});
+}
+
+metrics::Gauge DisconnectionGauge(metrics::Registry& registry, std::string_view reason) {
+  return registry.AddGauge("mangonotch_caller_disconnections",
+                           "Caller connections closed by this host, since the start",
+                           {{"reason", reason}});
+}
+
+}  // namespace
+
 HostGauges::HostGauges(metrics::Registry& registry)
     : configuration_version_(registry.AddGauge("mangonotch_configuration_version",
                                                "Version of the configuration in force")),
@@ -29,7 +47,17 @@
           registry.AddGauge("mangonotch_target_connections_reused",
                             "Requests sent on a reused connection since the start")),
       malformed_requests_(registry.AddGauge("mangonotch_malformed_requests",
-                                            "Requests refused by the parser since the start")) {}
+                                            "Requests refused by the parser since the start")),
+      caller_bytes_(registry.AddGauge("mangonotch_caller_bytes",
+                                      "Memory in use for connections, requests and responses of "
+                                      "callers")),
+      late_requests_(RejectionGauge(registry, "late")),
+      oversized_bodies_(RejectionGauge(registry, "body_too_large")),
+      oversized_headers_(RejectionGauge(registry, "headers_too_large")),
+      requests_without_memory_(RejectionGauge(registry, "no_memory")),
+      stalled_responses_(DisconnectionGauge(registry, "response_not_taken")),
+      responses_without_memory_(DisconnectionGauge(registry, "no_memory")),
+      refused_connections_(DisconnectionGauge(registry, "not_accepted")) {}
 
 void HostGauges::ReportCatalog(const catalog::Catalog& catalog,
                                const discovery::Registry& registry) {
@@ -50,7 +78,16 @@
   caller_connections_.Set(static_cast<double>(proxy.connections()));
   target_connections_opened_.Set(static_cast<double>(proxy.pool_counts().opened));
   target_connections_reused_.Set(static_cast<double>(proxy.pool_counts().reused));
-  malformed_requests_.Set(static_cast<double>(proxy.server_counts().malformed_requests));
+  const http1::ServerCounts& counts = proxy.server_counts();
+  malformed_requests_.Set(static_cast<double>(counts.malformed_requests));
+  caller_bytes_.Set(static_cast<double>(proxy.caller_bytes()));
+  late_requests_.Set(static_cast<double>(counts.late_requests));
+  oversized_bodies_.Set(static_cast<double>(counts.oversized_bodies));
+  oversized_headers_.Set(static_cast<double>(counts.oversized_headers));
+  requests_without_memory_.Set(static_cast<double>(counts.requests_without_memory));
+  stalled_responses_.Set(static_cast<double>(counts.stalled_responses));
+  responses_without_memory_.Set(static_cast<double>(counts.responses_without_memory));
+  refused_connections_.Set(static_cast<double>(counts.refused_connections));
 }
 
 }  // namespace mangonotch::app
--- a/src/app/internal/host_gauges.h
+++ b/src/app/internal/host_gauges.h
@@ -32,6 +32,14 @@
   metrics::Gauge target_connections_opened_;
   metrics::Gauge target_connections_reused_;
   metrics::Gauge malformed_requests_;
+  metrics::Gauge caller_bytes_;
+  metrics::Gauge late_requests_;
+  metrics::Gauge oversized_bodies_;
+  metrics::Gauge oversized_headers_;
+  metrics::Gauge requests_without_memory_;
+  metrics::Gauge stalled_responses_;
+  metrics::Gauge responses_without_memory_;
+  metrics::Gauge refused_connections_;
 };
 
 }  // namespace mangonotch::app
--- a/src/app/internal/serve_command.cc
+++ b/src/app/internal/serve_command.cc
@@ -1,4 +1,5 @@
 // `mangonotch serve`, `mangonotch edge` and `mangonotch check`.
+#include <malloc.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -19,6 +20,7 @@
 constexpr const char* kSettingsVariable = "MANGONOTCH_SETTINGS";
 /// Limit on the bytes of log lines that are buffered while standard output accepts no data.
 constexpr std::size_t kMaxPendingLogBytes = std::size_t{512} * 1024;
+constexpr int kMmapThresholdBytes = 64 * 1024;
 
 }  // namespace
 
@@ -59,6 +61,9 @@
   ParseArguments(cmd, args);
   const auto settings = settings::EdgeSettings::ReadFile(file.getValue());
   signal(SIGPIPE, SIG_IGN);
+  // The allocator raises this threshold with each large block that is freed, and then keeps large
+  // blocks instead of returning them to the kernel.
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   logging::BoundedOutput log(STDOUT_FILENO, kMaxPendingLogBytes);
   logging::SetUp(settings.log_level, log);
   EdgeHost host(settings, file.getValue(), log);
--- a/src/app/internal/traffic_thread.h
+++ b/src/app/internal/traffic_thread.h
@@ -19,10 +19,10 @@
   using Proxy = edge::RequestProxy<platform::PlatformTrafficCodec, edge::DecisionLog>;
 
   TrafficThread(const base::Endpoint& callers, steering::EngineSettings settings,
-                std::size_t max_connections, metrics::Registry& registry)
+                const edge::ProxyLimits& limits, metrics::Registry& registry)
       : work_(context_.get_executor()),
         log_(registry),
-        proxy_(context_, callers, std::move(settings), max_connections, {}, log_),
+        proxy_(context_, callers, std::move(settings), limits, {}, log_),
         thread_([this] { context_.run(); }) {}
   ~TrafficThread() {
     context_.stop();
--- a/src/edge/internal/request_proxy.inl
+++ b/src/edge/internal/request_proxy.inl
@@ -17,17 +17,19 @@
 RequestProxy<Codec, Observer>::RequestProxy(boost::asio::io_context& context,
                                             const base::Endpoint& callers,
                                             steering::EngineSettings settings,
-                                            std::size_t max_connections, Codec codec,
+                                            const ProxyLimits& limits, Codec codec,
                                             Observer& observer)
     : context_(context),
       codec_(std::move(codec)),
       observer_(observer),
-      pool_(context),
+      pool_(context, limits.target_bodies),
       timer_(context),
-      max_connections_(max_connections),
+      max_connections_(limits.connections),
+      caller_budget_(std::make_shared<http1::ByteBudget>(limits.caller_bytes)),
       engine_(std::move(settings), *this, observer),
       server_(context, callers, *this) {
   server_.SetLimits({.connections = max_connections_});
+  server_.SetBudget(caller_budget_);
 }
 
 template <TrafficCodec Codec, RequestObserver Observer>
@@ -75,6 +77,9 @@
 void RequestProxy<Codec, Observer>::OnCallerGone(http1::RequestId id) {
   engine_.OnCallerGone(id, http1::Now());
   EraseIfClosed(id);
+  // An attempt may go on, but no further one is sent.
+  const auto entry = pending_requests_.find(id);
+  if (entry != pending_requests_.end()) entry->second.request.body = std::string();
   ArmTimer();
 }
 
@@ -149,8 +154,8 @@
 template <TrafficCodec Codec, RequestObserver Observer>
 void RequestProxy<Codec, Observer>::DeliverAnswer(steering::ExchangeId id,
                                                   steering::AttemptNumber number) {
-  const Attempt* const attempt = FindAttempt(id, number);
-  server_.Reply(id, codec_.ToCallerResponse(attempt->response));
+  Attempt* const attempt = FindAttempt(id, number);
+  server_.Reply(id, codec_.ToCallerResponse(std::move(attempt->response)));
 }
 
 template <TrafficCodec Codec, RequestObserver Observer>
--- a/src/edge/internal/target_connection_pool.cc
+++ b/src/edge/internal/target_connection_pool.cc
@@ -13,7 +13,7 @@
 /// connection while the request is on its way.
 constexpr base::Duration kCloseMargin = base::Duration::Milliseconds(700);
 
-constexpr http1::ClientLimits kTargetLimits = {.connect_time = base::Duration::Milliseconds(300)};
+constexpr base::Duration kConnectTime = base::Duration::Milliseconds(300);
 
 bool IsSafeToReuse(const http1::ClientConnection& connection, base::Instant now) {
   const bool has_timeout = connection.usable_until() != base::Instant::Never();
@@ -38,7 +38,9 @@
     connection->Close();
   }
   ++counts_.opened;
-  return std::make_shared<http1::ClientConnection>(context_, kTargetLimits, body_budget_);
+  const http1::ClientLimits limits{.unreserved_body_bytes = unreserved_body_bytes_,
+                                   .connect_time = kConnectTime};
+  return std::make_shared<http1::ClientConnection>(context_, limits, body_budget_);
 }
 
 void TargetConnectionPool::Release(const std::string& target_id, ConnectionPtr connection) {
--- a/src/edge/request_proxy.h
+++ b/src/edge/request_proxy.h
@@ -30,16 +30,25 @@
   observer.OnRequestEnd(id);
 };
 
+/// Limits on what callers and targets may make the proxy hold.
+struct ProxyLimits {
+  /// Open connections of callers.
+  std::size_t connections = 1000;
+  /// Memory for the connections, requests and responses of callers. Callers within the limits do
+  /// not use up the default.
+  std::size_t caller_bytes = std::size_t{1024} * 1024 * 1024;
+  PendingBodyLimits target_bodies{};
+};
+
 template <TrafficCodec Codec, RequestObserver Observer>
 class RequestProxy {
  public:
   using Engine = steering::Engine<RequestProxy, Observer>;
 
-  /// Listens for callers on the address `callers`, with at most `max_connections` open connections.
-  /// Throws base::Error when the address cannot be bound. `context` and `observer` must outlive
-  /// this object.
+  /// Listens for callers on the address `callers`. Throws base::Error when the address cannot be
+  /// bound. `context` and `observer` must outlive this object.
   RequestProxy(boost::asio::io_context& context, const base::Endpoint& callers,
-               steering::EngineSettings settings, std::size_t max_connections, Codec codec,
+               steering::EngineSettings settings, const ProxyLimits& limits, Codec codec,
                Observer& observer);
 
   void ApplyRetryLimits(const steering::RetryLimits& limits);
@@ -62,6 +71,8 @@
   const http1::ServerCounts& server_counts() const { return server_.counts(); }
   const PoolCounts& pool_counts() const { return pool_.counts(); }
   std::size_t connections() const { return server_.connections(); }
+  /// Memory in use for callers.
+  std::size_t caller_bytes() const { return caller_budget_->used(); }
   std::size_t requests() const { return pending_requests_.size(); }
   std::uint16_t port() const { return server_.port(); }
 
@@ -110,6 +121,7 @@
   base::Instant timer_at_ = base::Instant::Never();
   std::unordered_map<steering::ExchangeId, PendingRequest> pending_requests_;
   std::size_t max_connections_;
+  std::shared_ptr<http1::ByteBudget> caller_budget_;
   Engine engine_;
   http1::Server<RequestProxy> server_;
 };
--- a/src/edge/target_connection_pool.h
+++ b/src/edge/target_connection_pool.h
@@ -19,13 +19,22 @@
   std::uint64_t reused = 0;
 };
 
+/// Limits on the bodies that all targets together may be sending.
+struct PendingBodyLimits {
+  /// Bytes beyond the first `unreserved_bytes` of each body.
+  std::size_t total_bytes = std::size_t{32} * 1024 * 1024;
+  std::size_t unreserved_bytes = http1::ClientLimits().unreserved_body_bytes;
+};
+
 class TargetConnectionPool {
  public:
   using ConnectionPtr = std::shared_ptr<http1::ClientConnection>;
 
-  explicit TargetConnectionPool(boost::asio::io_context& context)
+  /// Targets that send without end must not use up the memory of the process, hence `limits`.
+  TargetConnectionPool(boost::asio::io_context& context, const PendingBodyLimits& limits)
       : context_(context),
-        body_budget_(std::make_shared<http1::ByteBudget>(kMaxPendingBodyBytes)) {}
+        unreserved_body_bytes_(limits.unreserved_bytes),
+        body_budget_(std::make_shared<http1::ByteBudget>(limits.total_bytes)) {}
 
   /// Returns the most recently used idle connection that the target is not about to close, or a
   /// new, unconnected one.
@@ -45,11 +54,8 @@
   const PoolCounts& counts() const { return counts_; }
 
  private:
-  /// For bodies that are being received, beyond the first part of each: targets that send without
-  /// end must not use up the memory of the process.
-  static constexpr std::size_t kMaxPendingBodyBytes = std::size_t{32} * 1024 * 1024;
-
   boost::asio::io_context& context_;
+  std::size_t unreserved_body_bytes_;
   std::shared_ptr<http1::ByteBudget> body_budget_;
   /// Keyed by target id; the most recently released connection is last.
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
--- a/src/edge/traffic_codec.h
+++ b/src/edge/traffic_codec.h
@@ -31,7 +31,7 @@
   /// Classifies a target's response.
   { codec.ClassifyResponse(response) } -> std::same_as<steering::AttemptOutcome>;
   /// Converts a target's response to the response sent to the caller.
-  { codec.ToCallerResponse(response) } -> std::same_as<http1::Response>;
+  { codec.ToCallerResponse(http1::Response()) } -> std::same_as<http1::Response>;
   /// The response to the caller when the engine ends a request without a target's response.
   { codec.EncodeLocalReply(request, reply) } -> std::same_as<http1::Response>;
 };
--- a/src/http1/byte_budget.h
+++ b/src/http1/byte_budget.h
@@ -9,15 +9,17 @@
  public:
   explicit ByteBudget(std::size_t limit) : limit_(limit) {}
 
-  /// Returns false, and reserves nothing, if fewer than `n` bytes are left.
-  bool TryReserve(std::size_t n) {
-    if (n > limit_ - used_) return false;
+  /// Returns false, and reserves nothing, if fewer than `n` + `spare` bytes are left.
+  bool TryReserve(std::size_t n, std::size_t spare = 0) {
+    const std::size_t left = limit_ - used_;
+    if (n > left || spare > left - n) return false;
     used_ += n;
     return true;
   }
   /// `n` must have been reserved.
   void Release(std::size_t n) { used_ -= n; }
   std::size_t used() const { return used_; }
+  std::size_t limit() const { return limit_; }
 
  private:
   std::size_t limit_;
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -110,6 +110,7 @@
   WriteAll(socket_, write_buffer_,
            [self = shared_from_this()](boost::system::error_code ec, std::size_t) {
              self->is_writing_ = false;
+             self->write_buffer_ = std::string();  // Idle connections keep no request.
              if (self->is_closed_ || !self->is_busy_) return;
              // The server may have responded before it closed the connection, so a pending read
              // determines the result.
--- a/src/http1/internal/message.cc
+++ b/src/http1/internal/message.cc
@@ -42,15 +42,15 @@
   for (const Header& it : headers) out.append(it.name).append(": ").append(it.value).append("\r\n");
 }
 
-bool HasBody(const Request& request) {
-  return !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
+bool HasBody(const Request& request, std::string_view body) {
+  return !body.empty() || request.method == "POST" || request.method == "PUT" ||
          request.method == "PATCH";
 }
 
-bool StatusAllowsBody(unsigned status) { return status >= 200 && status != 204 && status != 304; }
-
 }  // namespace
 
+bool StatusAllowsBody(unsigned status) { return status >= 200 && status != 204 && status != 304; }
+
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
            return ToLower(x) == ToLower(y);
@@ -83,34 +83,39 @@
   return kept;
 }
 
-std::string Serialize(const Request& request) {
+std::string Serialize(const Request& request) { return Serialize(request, request.body); }
+
+std::string Serialize(const Request& request, std::string_view body) {
   std::string out;
-  out.reserve(request.body.size() + 512);
+  out.reserve(body.size() + 512);
   out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
   AppendHeaders(request.headers, out);
-  if (HasBody(request)) {
-    out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  if (HasBody(request, body)) {
+    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
   }
   if (!request.keep_alive) out.append("Connection: close\r\n");
-  return out.append("\r\n").append(request.body);
+  return out.append("\r\n").append(body);
 }
 
 std::string Serialize(const Response& response, bool close, bool is_head) {
+  std::string out = SerializeHead(response, close);
+  if (StatusAllowsBody(response.status) && !is_head) out.append(response.body);
+  return out;
+}
+
+std::string SerializeHead(const Response& response, bool close) {
   std::string out;
-  out.reserve(response.body.size() + 512);
+  out.reserve(512);
   out.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
   const std::string_view own_reason = response.reason;
   out.append(own_reason.empty() ? ReasonPhrase(response.status) : own_reason);
   out.append("\r\n");
   AppendHeaders(response.headers, out);
-  const bool has_body = StatusAllowsBody(response.status);
-  if (has_body) {
+  if (StatusAllowsBody(response.status)) {
     out.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
   }
   if (close) out.append("Connection: close\r\n");
-  out.append("\r\n");
-  if (has_body && !is_head) out.append(response.body);
-  return out;
+  return out.append("\r\n");
 }
 
 std::string_view ReasonPhrase(unsigned status) {
--- a/src/http1/internal/server.inl
+++ b/src/http1/internal/server.inl
@@ -17,6 +17,11 @@
 /// Delay after a failed accept, which occurs when file descriptors or memory run out.
 inline constexpr base::Duration kAcceptRetryDelay = base::Duration::Milliseconds(50);
 
+/// Connections that hold no more than this may use the whole budget. The others leave a part of it,
+/// so that small requests are served while large ones use up the rest.
+inline constexpr std::size_t kSmallConnectionBytes = std::size_t{64} * 1024;
+inline constexpr std::size_t kSmallConnectionsDivisor = 4;
+
 template <typename Handler>
 Server<Handler>::Server(boost::asio::io_context& context, const base::Endpoint& address,
                         Handler& handler)
@@ -66,10 +71,9 @@
     ++counts_.refused_connections;
     socket.close(ec);
   } else {
-    ++counts_.accepted;
     const auto connection = std::make_shared<Connection>(*this, std::move(socket));
     connections_.insert(connection);
-    connection->Start();
+    ++(connection->Start() ? counts_.accepted : counts_.refused_connections);
   }
   Accept();
 }
@@ -109,4 +113,37 @@
   for (const auto& it : all) it->CheckTimeouts(now);
 }
 
+template <typename Handler>
+bool Server<Handler>::Reserve(const Connection& connection, std::size_t n) {
+  if (!budget_) return true;
+  const bool is_small = connection.reserved() + n <= kSmallConnectionBytes;
+  const std::size_t spare = is_small ? 0 : budget_->limit() / kSmallConnectionsDivisor;
+  while (!budget_->TryReserve(n, spare)) {
+    Connection* const victim = FindVictim(connection, Now());
+    if (victim == nullptr) return false;
+    victim->Evict();
+  }
+  return true;
+}
+
+template <typename Handler>
+void Server<Handler>::Release(std::size_t n) {
+  if (budget_) budget_->Release(n);
+}
+
+template <typename Handler>
+typename Server<Handler>::Connection* Server<Handler>::FindVictim(const Connection& connection,
+                                                                  base::Instant now) {
+  Connection* victim = nullptr;
+  std::pair<bool, std::size_t> most = {false, connection.reserved()};
+  for (const auto& it : connections_) {
+    const std::size_t bytes = it->EvictableBytes();
+    const std::pair<bool, std::size_t> rank = {it->IsStalled(now), bytes};
+    if (it.get() == &connection || bytes == 0 || rank <= most) continue;
+    most = rank;
+    victim = it.get();
+  }
+  return victim;
+}
+
 }  // namespace mangonotch::http1
--- a/src/http1/message.h
+++ b/src/http1/message.h
@@ -48,9 +48,16 @@
 /// Formats the message for sending and adds the framing headers; the headers of the message must be
 /// end-to-end headers.
 std::string Serialize(const Request& request);
+/// The same with `body` instead of the body of `head`, which saves a copy of a large body.
+std::string Serialize(const Request& head, std::string_view body);
 /// `close` adds "Connection: close"; `is_head` omits the body but keeps its Content-Length.
 std::string Serialize(const Response& response, bool close, bool is_head);
 
+/// The same without the body.
+std::string SerializeHead(const Response& response, bool close);
+/// Whether responses with the status have a body.
+bool StatusAllowsBody(unsigned status);
+
 /// The standard reason phrase of a status code.
 std::string_view ReasonPhrase(unsigned status);
 
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -15,6 +15,7 @@
 
 #include "base/endpoint.h"
 #include "base/instant.h"
+#include "http1/byte_budget.h"
 #include "http1/message.h"
 
 namespace mangonotch::http1 {
@@ -28,6 +29,11 @@
   base::Duration header_time = base::Duration::Seconds(5);
   /// Time limit between two reads of a body.
   base::Duration body_time = base::Duration::Seconds(10);
+  /// Time limit for a whole request, from its first byte. The largest body of an entry host, 8 MiB,
+  /// arrives in time from 1.2 Mbit/s on.
+  base::Duration request_time = base::Duration::Seconds(60);
+  /// A connection is closed when its caller takes no byte of a response for this time.
+  base::Duration write_time = base::Duration::Seconds(20);
   /// Keep-alive connections without a request are closed after this time.
   base::Duration idle_time = base::Duration::Seconds(60);
   /// Maximum of open connections; further ones are closed right after they are accepted.
@@ -37,7 +43,20 @@
 struct ServerCounts {
   std::uint64_t accepted = 0;
   std::uint64_t refused_connections = 0;
+  /// All requests that the server has rejected itself; the counts below are parts of it.
   std::uint64_t malformed_requests = 0;
+  /// 408: the headers or the body did not arrive in time.
+  std::uint64_t late_requests = 0;
+  /// 413.
+  std::uint64_t oversized_bodies = 0;
+  /// 431: the headers, trailers or a chunk's header.
+  std::uint64_t oversized_headers = 0;
+  /// 503: there was no memory for the request.
+  std::uint64_t requests_without_memory = 0;
+  /// Connections closed because the caller did not take its response in time.
+  std::uint64_t stalled_responses = 0;
+  /// Connections closed because there was no memory for their responses.
+  std::uint64_t responses_without_memory = 0;
 };
 
 /// Receives the requests. Server::Reply may be called from within OnRequest or later.
@@ -62,6 +81,9 @@
   Server& operator=(const Server&) = delete;
 
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+  /// Bounds the memory that connections, unfinished and unanswered requests and unsent responses
+  /// use together. Without a budget, it is not bounded. To be called before connections arrive.
+  void SetBudget(std::shared_ptr<ByteBudget> budget) { budget_ = std::move(budget); }
   /// Sends the response to a request; ignored when the caller has disconnected.
   void Reply(RequestId id, Response response);
 
@@ -83,6 +105,12 @@
   /// Checks the time limits of all connections every kSweepInterval.
   void Sweep();
   void CheckConnections();
+  /// Reserves `n` bytes more for `connection`. When the budget is used up, connections that hold
+  /// more lose what they hold, those that have stalled first.
+  bool Reserve(const Connection& connection, std::size_t n);
+  void Release(std::size_t n);
+  /// The connection to evict in favour of `connection`; null when there is none.
+  Connection* FindVictim(const Connection& connection, base::Instant now);
 
   boost::asio::io_context& context_;
   Handler& handler_;
@@ -91,6 +119,8 @@
   boost::asio::steady_timer sweep_timer_;
   ServerLimits limits_;
   ServerCounts counts_;
+  /// Null for no limit.
+  std::shared_ptr<ByteBudget> budget_;
   bool is_draining_ = false;
   RequestId last_id_ = 0;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
--- a/src/settings/edge_settings.h
+++ b/src/settings/edge_settings.h
@@ -60,6 +60,8 @@
   EdgeBounds bounds;
   /// Bandwidth of this host's link, in Mbit/s.
   std::uint32_t link_mbps = 100;
+  /// Memory of this host's machine, in MiB; 0 when it is not known.
+  std::size_t memory_mb = 0;
   /// All hosts of the deployment start together for the first time, well before callers come.
   bool is_first_start = false;
   /// File descriptors that the process may open.
--- a/src/settings/internal/edge_settings.cc
+++ b/src/settings/internal/edge_settings.cc
@@ -16,6 +16,9 @@
 
 constexpr std::int64_t kMinDescriptors = 64;
 constexpr std::int64_t kMaxDescriptors = 1'000'000;
+/// Less is no room for the program and the bodies of callers within the limits.
+constexpr double kMinMemoryMb = 64;
+constexpr double kMaxMemoryMb = 1'048'576;
 /// Retries are counted in fractions of the window, which limits how short it can be.
 constexpr base::Duration kMinRetryWindow = base::Duration::Milliseconds(100);
 
@@ -55,6 +58,14 @@
   return n;
 }
 
+/// 0 when it is not given.
+std::size_t ReadMemory(Reader& reader) {
+  const double megabytes = NumberOr(reader, "memory_mb", 0);
+  const bool is_valid = megabytes == 0 || (megabytes >= kMinMemoryMb && megabytes <= kMaxMemoryMb);
+  if (!is_valid) reader.AddFault("memory_mb", "64 to 1048576", "another number");
+  return is_valid ? static_cast<std::size_t>(megabytes) : 0;
+}
+
 EdgeBounds ReadBounds(Reader reader) {
   const EdgeBounds defaults;
   EdgeBounds bounds;
@@ -113,6 +124,7 @@
       "descriptors", {kMinDescriptors, kMaxDescriptors}, static_cast<std::int64_t>(1024)));
   settings.link_mbps = static_cast<std::uint32_t>(
       NumberOr(reader, "link_mbps", static_cast<double>(settings.link_mbps)));
+  settings.memory_mb = ReadMemory(reader);
   settings.is_first_start = reader.BooleanOr("first_start", false);
   settings.log_level = ReadLogLevel(reader);
   reader.RefuseUnknownFields();
--- a/src/settings/tests/edge_settings_test.cc
+++ b/src/settings/tests/edge_settings_test.cc
@@ -24,6 +24,7 @@
   "store": "10.200.1.7:8642",
   "bounds": {"retry_ratio": "0.2", "retry_window": "10s", "retry_allowance": "56", "stop_time": "6s",
              "lookup_ttl": "", "target_heartbeat": "800ms"},
+  "memory_mb": "160",
   "first_start": true,
   "descriptors": 4100
 })";
@@ -58,6 +59,7 @@
   REQUIRE(settings.bounds.lookup_ttl == EdgeBounds().lookup_ttl);
   REQUIRE(settings.bounds.target_heartbeat == base::Duration::Milliseconds(800));
   REQUIRE(settings.descriptors == 4100);
+  REQUIRE(settings.memory_mb == 160);
   REQUIRE(settings.is_first_start);
 }
 
@@ -109,4 +111,14 @@
   REQUIRE(watch.fault().empty());
 }
 
+// Guards against a misread amount from which the host would derive no bound, or one that refuses
+// every request.
+TEST_CASE("The memory of the machine may be missing, but not too small") {
+  REQUIRE(EdgeSettings::Parse(Replaced("\"memory_mb\": \"160\",", ""), "f").memory_mb == 0);
+  REQUIRE(EdgeSettings::Parse(Replaced("\"160\"", "\"\""), "f").memory_mb == 0);
+  for (const char* text : {"\"63\"", "\"2e9\"", "\"much\"", "\"-1\""}) {
+    REQUIRE_THROWS_AS(EdgeSettings::Parse(Replaced("\"160\"", text), "f"), jsonc::FaultError);
+  }
+}
+
 }  // namespace mangonotch::settings
--- a/tests/edge_tests/edge_deployment.cc
+++ b/tests/edge_tests/edge_deployment.cc
@@ -23,7 +23,8 @@
 
 }  // namespace
 
-EdgeDeployment::EdgeDeployment(const std::string& name, int host_count, Duration work_time)
+EdgeDeployment::EdgeDeployment(const std::string& name, int host_count, Duration work_time,
+                               int memory_mb)
     : network_(context_), store_(context_, LocalPort(0)) {
   store_.Put(std::string(platform::testing::kConfigurationStoreKey),
              platform::testing::MakeConfiguration(1, kCallerHost, kService));
@@ -40,10 +41,10 @@
   const std::string folder = std::string(MANGONOTCH_TEST_LOGS) + "/" + name;
   mkdir(MANGONOTCH_TEST_LOGS, 0755);
   mkdir(folder.c_str(), 0755);
-  for (int i = 1; i <= host_count; ++i) StartHost(folder, i);
+  for (int i = 1; i <= host_count; ++i) StartHost(folder, i, memory_mb);
 }
 
-void EdgeDeployment::StartHost(const std::string& folder, int number) {
+void EdgeDeployment::StartHost(const std::string& folder, int number, int memory_mb) {
   EdgeProcess host{.ip = network_.Host(number),
                    .store_proxy = std::make_unique<support::FaultProxy>(context_, LocalPort(0),
                                                                         LocalPort(store_.port())),
@@ -54,7 +55,8 @@
                                         .ip = host.ip,
                                         .region = "north",
                                         .seed_ip = network_.Host(1),
-                                        .store = LocalPort(host.store_proxy->port())});
+                                        .store = LocalPort(host.store_proxy->port()),
+                                        .memory_mb = memory_mb});
   const std::string log = folder + "/" + name + ".log";
   std::remove(log.c_str());  // Of an earlier run; it need not exist.
   const std::vector<std::string> argv = {MANGONOTCH_BINARY, "edge", settings};
--- a/tests/edge_tests/edge_deployment.h
+++ b/tests/edge_tests/edge_deployment.h
@@ -33,8 +33,10 @@
 /// Hosts of one region with two workers, all in the same availability zone.
 class EdgeDeployment {
  public:
-  /// Starts `host_count` hosts, with settings and logs in a folder named `name`.
-  EdgeDeployment(const std::string& name, int host_count, base::Duration work_time);
+  /// Starts `host_count` hosts, with settings and logs in a folder named `name`. `memory_mb` is the
+  /// memory of each host's machine, 0 if their settings do not say it.
+  EdgeDeployment(const std::string& name, int host_count, base::Duration work_time,
+                 int memory_mb = 0);
 
   /// Runs the stand-ins for `d`.
   void RunFor(base::Duration d);
@@ -59,7 +61,7 @@
   const platform::testing::RunCounts& runs() const { return runs_; }
 
  private:
-  void StartHost(const std::string& folder, int number);
+  void StartHost(const std::string& folder, int number, int memory_mb);
 
   boost::asio::io_context context_;
   support::LoopbackNetwork network_;
--- a/tests/edge_tests/memory_bounds_test.cc
+++ b/tests/edge_tests/memory_bounds_test.cc
@@ -17,7 +17,8 @@
 constexpr std::size_t kKib = 1024;
 constexpr std::size_t kMib = kKib * kKib;
 /// Memory of the host's machine in these tests; no process may use more.
-constexpr std::size_t kMachineKib = 64 * kKib;
+constexpr int kMachineMb = 64;
+constexpr std::size_t kMachineKib = kMachineMb * kKib;
 /// Descriptors that the process may open by its settings.
 constexpr std::size_t kMachineDescriptors = 1024;
 /// The stand-in configuration's limit on bodies.
@@ -70,7 +71,7 @@
 /// Runs one crowd against a new host and checks that the host stays within its machine.
 void CheckCrowd(const std::string& name, const CallerScript& script) {
   INFO(name);
-  EdgeDeployment deployment("memory-" + name, 1, Duration::Milliseconds(20));
+  EdgeDeployment deployment("memory-" + name, 1, Duration::Milliseconds(20), kMachineMb);
   REQUIRE(deployment.RunUntilReady());
   Crowd crowd(deployment.host(0), kCrowd, script);
   CHECK(crowd.Send(deployment, kSendTime));
@@ -120,7 +121,7 @@
 }
 
 TEST_CASE("Callers that do not read large answers") {
-  EdgeDeployment deployment("memory-slow-callers", 1, Duration::Milliseconds(20));
+  EdgeDeployment deployment("memory-slow-callers", 1, Duration::Milliseconds(20), kMachineMb);
   REQUIRE(deployment.RunUntilReady());
   // Of all callers at once, the host would refuse most before a target has room for them.
   constexpr std::size_t kRounds = 10;
@@ -139,7 +140,7 @@
 }
 
 TEST_CASE("Targets that do not read large requests") {
-  EdgeDeployment deployment("memory-slow-targets", 1, Duration::Milliseconds(20));
+  EdgeDeployment deployment("memory-slow-targets", 1, Duration::Milliseconds(20), kMachineMb);
   REQUIRE(deployment.RunUntilReady());
   // Connections to it are established by the kernel, and nothing reads from them.
   boost::asio::io_context context;
--- a/tests/support/edge_settings.cc
+++ b/tests/support/edge_settings.cc
@@ -31,7 +31,9 @@
       << ", \"metrics\": " << Address(host.ip, kMetricsPort)
       << "},\n\"zones\": [{\"zone\": \"north-a\", \"region\": \"north\"}, "
          "{\"zone\": \"south-a\", \"region\": \"south\"}],\n\"seeds\": ["
-      << Address(host.seed_ip, kPeerPort) << "],\n\"store\": " << Quoted(http1::ToText(host.store))
+      << Address(host.seed_ip, kPeerPort)
+      << "],\n\"memory_mb\": " << Quoted(std::to_string(host.memory_mb))
+      << ",\n\"store\": " << Quoted(http1::ToText(host.store))
       << ",\n\"bounds\": {\"retry_ratio\": \"0.2\", \"retry_allowance\": \"50\"}}\n";
 }
 
--- a/tests/support/edge_settings.h
+++ b/tests/support/edge_settings.h
@@ -15,6 +15,8 @@
   /// Address of another host, or of this one.
   std::string seed_ip;
   base::Endpoint store;
+  /// Memory of the host's machine, in MiB; 0 when its settings do not say it.
+  int memory_mb = 0;
 };
 
 /// Ports of the listening addresses; all hosts use the same.
