Take a target's status outside 100 to 599 for bytes that are no answer

A status below 100 counted as an interim response: the exchange went on until the route's timeout (504). A status above 599 was passed on to the caller as an answer. Both now fail the exchange as lost and close the connection, so that an idempotent request is sent again and another gets 502.

--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 /// Interim responses and responses to other requests after which an exchange fails.
 constexpr std::uint32_t kMaxDiscardedResponses = 16;
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 /// Time after the last arrival until the first probe, and time between probes: the shortest that
 /// the kernel accepts.
 constexpr int kProbeIntervalSeconds = 1;
@@ -219,6 +221,11 @@
 void ClientConnection::HandleResponse() {
   const bool is_delimited_by_close = parser_->need_eof();
   Response response = ToResponse(parser_->release());
+  // Such bytes are no response, so what follows them on the connection is not known either.
+  if (response.status < kMinStatus || response.status > kMaxStatus) {
+    Finish(ExchangeError::kBroken, "an answer with a status that does not exist", {});
+    return;
+  }
   const bool is_interim = response.status < 200;
   if (is_interim || !filter_(response)) {
     const bool is_last_allowed = ++discarded_responses_ >= kMaxDiscardedResponses;
--- a/src/http1/tests/client_connection_test.cc
+++ b/src/http1/tests/client_connection_test.cc
@@ -250,6 +250,31 @@
   REQUIRE(small.result->error == ExchangeError::kNone);
 }
 
+// Guards against a failing server whose status 000 was passed on to the caller as an answer.
+TEST_CASE("A status outside 100 to 599 is no response") {
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    for (const char* rest :
+         {" OK\r\nContent-Length: 2\r\n\r\nab", "\r\nContent-Length: 0\r\n\r\n"}) {
+      CAPTURE(status, rest);
+      Fixture fixture;
+      fixture.Exchange();
+      fixture.Server().Send(std::string("HTTP/1.1 ") + status + rest);
+      REQUIRE(fixture.RunUntilDone());
+      REQUIRE(fixture.result->error == ExchangeError::kBroken);
+      REQUIRE(fixture.server->IsClosed());
+    }
+  }
+  for (const char* status : {"200", "599"}) {
+    CAPTURE(status);
+    Fixture fixture;
+    fixture.Exchange();
+    fixture.Server().Send(std::string("HTTP/1.1 ") + status +
+                          " Any\r\nContent-Length: 2\r\n\r\nab");
+    REQUIRE(fixture.RunUntilDone());
+    REQUIRE(fixture.result->error == ExchangeError::kNone);
+  }
+}
+
 TEST_CASE("Data that is not an HTTP response is an error") {
   Fixture fixture;
   fixture.Exchange();
