Test that the memory bounds serve the largest body while the host is calm

Guards against bounds that refuse a caller within the limits: a body at the limit is sent with its length and in 4-byte chunks to a host of a machine with 64 MiB.

--- a/tests/edge_tests/memory_bounds_test.cc
+++ b/tests/edge_tests/memory_bounds_test.cc
@@ -168,4 +168,28 @@
   CheckOrdinaryCaller(deployment, "after-slow-targets");
 }
 
+// Guards against bounds that refuse a caller within the limits.
+TEST_CASE("A request with the largest body is served while the host is calm") {
+  EdgeDeployment deployment("memory-calm", 1, Duration::Milliseconds(20), kMachineMb);
+  REQUIRE(deployment.RunUntilReady());
+  std::string chunks;
+  for (std::size_t i = 0; i < kMaxBodyBytes / 4; ++i) chunks += "4\r\naaaa\r\n";
+  const std::string length = "Content-Length: " + std::to_string(kMaxBodyBytes) + "\r\n";
+  for (const std::string& request :
+       {Head("POST", "/file/1", length) + std::string(kMaxBodyBytes, 'a'),
+        ChunkedHead() + chunks + "0\r\n\r\n"}) {
+    http1::LoopbackSocket caller(boost::asio::ip::tcp::endpoint(
+        boost::asio::ip::make_address(deployment.host(0).ip), support::kEdgeCallerPort));
+    std::size_t sent = 0;
+    const bool is_answered = deployment.RunUntil(kAnswerTime, [&] {
+      sent += caller.SendSome(request.substr(sent));
+      return caller.Received().find("whole answer to crowd") != std::string::npos ||
+             caller.IsClosed();
+    });
+    INFO(caller.Received());
+    REQUIRE(is_answered);
+    REQUIRE(caller.Received().starts_with("HTTP/1.1 200"));
+  }
+}
+
 }  // namespace mangonotch::edge_tests
