--- a/tests/edge_tests/edge_deployment.h
+++ b/tests/edge_tests/edge_deployment.h
@@ -35,17 +35,21 @@
 /// Hosts of one region with two workers, all in the same availability zone.
 class EdgeDeployment {
  public:
-  /// Starts `host_count` hosts, with settings and logs in a folder named `name`.
-  EdgeDeployment(const std::string& name, int host_count, base::Duration work_time);
+  /// Starts `host_count` hosts, with settings and logs in a folder named `name`. `memory_mb` is the
+  /// memory of each host's machine, 0 if their settings do not say it.
+  EdgeDeployment(const std::string& name, int host_count, base::Duration work_time,
+                 int memory_mb = 0);
 
   /// Runs the stand-ins for `d`.
   void RunFor(base::Duration d);
-  /// Runs the stand-ins until `condition` holds; false when it does not hold within `limit`.
+  /// Runs the stand-ins until `condition` holds, which is checked every `interval`; false when it
+  /// does not hold within `limit`.
   template <typename Condition>
-  bool RunUntil(base::Duration limit, Condition condition) {
+  bool RunUntil(base::Duration limit, Condition condition,
+                base::Duration interval = base::Duration::Milliseconds(20)) {
     const base::Instant end = http1::Now() + limit;
     while (http1::Now() < end) {
-      RunFor(base::Duration::Milliseconds(20));
+      RunFor(interval);
       if (condition()) return true;
     }
     return false;
@@ -62,7 +66,7 @@
   const platform::testing::RunCounts& runs() const { return runs_; }
 
  private:
-  void StartHost(const std::string& folder, int number);
+  void StartHost(const std::string& folder, int number, int memory_mb);
   static void StartProcess(EdgeProcess& host);
 
   boost::asio::io_context context_;
