--- a/src/steering/internal/engine_catalog.inl
+++ b/src/steering/internal/engine_catalog.inl
@@ -28,7 +28,7 @@
   if (!before || before->configuration != catalog_->configuration) {
     catalog::RouteTable routes{catalog_->configuration};
     routes_ = std::move(routes);
-    tenants_ = catalog::TenantTable(catalog_->configuration);
+    tenants_ = catalog::TenantTable{catalog_->configuration};
     if (catalog_->configuration) limiter_.SetTenants(catalog_->configuration->tenants);
     wrr_weights_.clear();
   }
