--- a/src/steering/engine.h
+++ b/src/steering/engine.h
@@ -206,3 +206,5 @@
 #include "steering/internal/engine_candidates.inl"  // IWYU pragma: export
 #include "steering/internal/engine_catalog.inl"     // IWYU pragma: export
 #include "steering/internal/engine_limits.inl"      // IWYU pragma: export
+#include "steering/internal/engine_queue.inl"       // IWYU pragma: export
+#include "steering/internal/engine_tenants.inl"     // IWYU pragma: export
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -15,8 +15,6 @@
 /// A hedged attempt is sent when the first attempt takes this many times its estimate.
 inline constexpr std::int64_t kHedgeFactor = 3;
 inline constexpr base::Duration kMinHedgeDelay = base::Duration::Milliseconds(60);
-/// A request may wait in the queue for the latency objective divided by this.
-inline constexpr std::int64_t kWaitDivisor = 3;
 /// Answers to requests for objects contribute to the service's average service time if they come
 /// from targets up to this affinity rank, since these have the objects in their caches.
 inline constexpr std::uint32_t kMaxReferenceRank = 1;
@@ -103,16 +101,6 @@
   Dispatch(exchange, now);
 }
 
-template <typename Port, DecisionObserver Observer>
-bool Engine<Port, Observer>::Authenticate(Exchange& exchange,
-                                          const std::optional<catalog::KeyDigest>& key) const {
-  if (!tenants_.HasTenants()) return true;
-  exchange.tenant = key ? tenants_.Find(*key) : nullptr;
-  exchange.tenant_priority =
-      exchange.tenant ? exchange.tenant->priority : tenants_.anonymous_priority();
-  return exchange.tenant != nullptr || exchange.route->allows_anonymous;
-}
-
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::Dispatch(Exchange& exchange, base::Instant now) {
   const Selection selection = SelectTarget(exchange, now);
@@ -126,46 +114,6 @@
   }
 }
 
-template <typename Port, DecisionObserver Observer>
-base::Duration Engine<Port, Observer>::QueueDelay(const ServiceState& service) const {
-  const double capacity = service.CapacityPerSecond();
-  if (capacity == 0) return {};
-  // Assumes that every other host has as many requests waiting.
-  const double ahead = static_cast<double>(service.waiting()) * host_count_;
-  return base::Duration::Nanoseconds(static_cast<std::int64_t>(ahead / capacity * 1e9));
-}
-
-template <typename Port, DecisionObserver Observer>
-void Engine<Port, Observer>::EnqueueOrRefuse(Exchange& exchange, const Selection& selection,
-                                             base::Instant now) {
-  base::Duration delay = QueueDelay(*exchange.service);
-  base::Duration estimate = exchange.service->ServiceTime(exchange.route->latency_objective / 2);
-  LocalReplyReason reason = LocalReplyReason::kNoRoom;
-  if (selection.choice) {
-    estimate = selection.choice->estimate;
-    observer_.OnTargetsFull(exchange, *selection.choice, delay, now);
-  } else {
-    delay = std::max(delay, selection.next_send - now);
-    reason = selection.is_backoff ? LocalReplyReason::kTargetsBackingOff
-                                  : LocalReplyReason::kTargetsLimited;
-    observer_.OnTargetsLimited(exchange, delay, now);
-  }
-  const bool is_in_time = now + delay + estimate < exchange.deadline;
-  const bool is_wait_acceptable = delay < exchange.route->latency_objective / kWaitDivisor;
-  if (!is_in_time || !is_wait_acceptable) {
-    const base::Duration retry_after = reason == LocalReplyReason::kTargetsBackingOff
-                                           ? RetryAfterBackoff(exchange, selection.next_send, now)
-                                           : std::max(delay, kMinRetryAfter);
-    SendLocalReply(exchange, LocalReplyKind::kNotRun, reason, retry_after, now);
-    return;
-  }
-  exchange.is_waiting = true;
-  exchange.service->Enqueue(exchange);
-  ScheduleDispatch(*exchange.service, selection.next_send);
-  const base::Instant wait_limit = now + exchange.route->latency_objective / kWaitDivisor;
-  SetTimer(exchange, std::min(wait_limit, exchange.deadline));
-}
-
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::Send(Exchange& exchange, const Choice& choice, base::Instant now) {
   const auto number = static_cast<AttemptNumber>(exchange.attempts.size() + 1);
@@ -335,11 +283,6 @@
   DispatchWaiting(service, now);
 }
 
-template <typename Port, DecisionObserver Observer>
-void Engine<Port, Observer>::RefundQuota(Exchange& exchange) {
-  if (std::exchange(exchange.is_charged_to_quota, false)) limiter_.Refund(*exchange.tenant);
-}
-
 template <typename Port, DecisionObserver Observer>
 void Engine<Port, Observer>::CancelOpenAttempts(Exchange& exchange) {
   for (Attempt& it : exchange.attempts) {
@@ -403,21 +346,4 @@
   DispatchWaiting(service, now);
 }
 
-template <typename Port, DecisionObserver Observer>
-void Engine<Port, Observer>::DispatchWaiting(ServiceState& service, base::Instant now) {
-  for (const ExchangeId id : service.WaitingInOrder()) {
-    Exchange& exchange = *exchanges_.at(id);
-    const Selection selection = SelectTarget(exchange, now);
-    // Stop at the first request that cannot be sent: a later one must not take the slot that it
-    // waits for.
-    if (!selection.IsSendable()) {
-      ScheduleDispatch(service, selection.next_send);
-      return;
-    }
-    service.Dequeue(exchange);
-    exchange.is_waiting = false;
-    Send(exchange, *selection.choice, now);
-  }
-}
-
 }  // namespace mangonotch::steering
