Release requests whose caller has left, and refuse only requests that are read

Found by a reader of the change. A non-idempotent request whose caller had left was never released after its deadline: nothing ended its cancelled attempt. An idle connection whose last head had come in parts counted as one that holds memory, and was sent a 503 that no request had asked for. Callers of the look-up address could shut out the readiness check.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -52,6 +52,11 @@
 constexpr Duration kSettingsCheckInterval = Duration::Seconds(1);
 constexpr Duration kLogFlushInterval = Duration::Milliseconds(200);
 
+/// One for each address, so that callers of one do not shut out those of another.
+std::shared_ptr<http1::ByteBudget> CallerBudgetOf(const settings::EdgeSettings& settings) {
+  return std::make_shared<http1::ByteBudget>(ControlCallerBytesOf(settings));
+}
+
 }  // namespace
 
 class EdgeHost::Control {
@@ -104,7 +109,6 @@
   peering::Gossip gossip_;
   QuotaExchange quotas_;
   /// For the callers of the three addresses below.
-  std::shared_ptr<http1::ByteBudget> caller_budget_;
   Listener readiness_;
   Listener lookup_;
   Listener metrics_server_;
@@ -142,10 +146,11 @@
           [this](const base::Endpoint& peers) { members_.AddContact(peers, http1::Now()); }),
       gossip_(context_, members_, registry_, RandomIncarnation(), GossipCallbacks()),
       quotas_(context_, members_, gossip_, traffic_, metrics_, QuotaTermsOf(settings.bounds)),
-      caller_budget_(std::make_shared<http1::ByteBudget>(ControlCallerBytesOf(settings))),
-      readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness, caller_budget_),
-      lookup_(context_, settings.listen.lookup, *this, &ReplyLookup, caller_budget_),
-      metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics, caller_budget_),
+      readiness_(context_, settings.listen.readiness, *this, &ReplyReadiness,
+                 CallerBudgetOf(settings)),
+      lookup_(context_, settings.listen.lookup, *this, &ReplyLookup, CallerBudgetOf(settings)),
+      metrics_server_(context_, settings.listen.metrics, *this, &ReplyMetrics,
+                      CallerBudgetOf(settings)),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       expire_timer_(context_),
       stop_timer_(context_),
--- a/src/app/internal/edge_parameters.cc
+++ b/src/app/internal/edge_parameters.cc
@@ -21,6 +21,8 @@
 /// targets, the store and files.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
 constexpr std::size_t kMiB = std::size_t{1024} * 1024;
+/// The readiness, look-up and metrics addresses, which have equal parts.
+constexpr std::size_t kControlAddresses = 3;
 constexpr std::size_t kDefaultControlCallerBytes = 64 * kMiB;
 // Shares of the machine's memory; together at most a half. The other half is for the program, its
 // connections to targets, the kernel's socket buffers and copies in the making.
@@ -73,8 +75,8 @@
 }
 
 std::size_t ControlCallerBytesOf(const settings::EdgeSettings& settings) {
-  if (settings.memory_mb == 0) return kDefaultControlCallerBytes;
-  return settings.memory_mb * kMiB / kShares * kControlShare;
+  if (settings.memory_mb == 0) return kDefaultControlCallerBytes / kControlAddresses;
+  return settings.memory_mb * kMiB / kShares * kControlShare / kControlAddresses;
 }
 
 Duration WatchDelayOf(std::string_view host) {
--- a/src/app/internal/edge_parameters.h
+++ b/src/app/internal/edge_parameters.h
@@ -21,7 +21,7 @@
 steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings);
 /// The shares of the machine's descriptors and memory for callers and targets.
 edge::ProxyLimits ProxyLimitsOf(const settings::EdgeSettings& settings);
-/// Memory for callers of the readiness, look-up and metrics addresses.
+/// Memory for the callers of each of the readiness, look-up and metrics addresses.
 std::size_t ControlCallerBytesOf(const settings::EdgeSettings& settings);
 /// When all hosts start together, a host leaves the store to others for this time, which follows
 /// from its name: most of them hear in time that others watch it.
--- a/src/app/internal/quota_exchange.cc
+++ b/src/app/internal/quota_exchange.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "app/internal/random_incarnation.h"
 #include "base/hash.h"
 #include "http1/clock.h"
 #include "http1/post.h"
@@ -38,7 +39,8 @@
       reports_unanswered_(
           metrics.AddCounter("mangonotch_quota_usages_unanswered_total",
                              "Usages whose report was not answered in time, and sent again")),
-      coordinator_(terms) {}
+      coordinator_(terms),
+      queue_(RandomIncarnation()) {}
 
 void QuotaExchange::ApplyConfiguration(const catalog::Configuration& configuration) {
   coordinator_.SetTenants(configuration.tenants);
@@ -47,8 +49,15 @@
 }
 
 void QuotaExchange::OnInterval(bool is_leaving, base::Instant now) {
-  if (!has_limits_) return;
+  if (!has_limits_) {
+    tenants_coordinated_.Set(0);
+    tenants_limited_.Set(0);
+    shares_below_one_.Set(0);
+    return;
+  }
   is_leaving_ = is_leaving;
+  coordinator_.SetReach(static_cast<double>(members_.CountLive(now)) /
+                        members_.CountPossiblyAlive(now));
   const std::vector<quota::TenantUsage> unanswered = queue_.TakeUnanswered(now);
   if (!unanswered.empty()) {
     reports_unanswered_.Add(unanswered.size());
@@ -87,7 +96,7 @@
   for (const auto& [coordinator, report] : queue_.TakeReports(hosts, now)) {
     if (coordinator.peers == own) {
       queue_.OnAnswer(report.number);
-      ApplyShares(coordinator_.OnReport(report.usages, now));
+      ApplyShares(coordinator_.OnReport(coordinator.key, report, now));
       continue;
     }
     reports_sent_.Add();
@@ -116,9 +125,11 @@
 
 void QuotaExchange::OnDatagram(std::string_view bytes, const base::Endpoint& sender,
                                base::Instant now) {
+  const std::optional<std::uint64_t> host = members_.FindHostKey(sender);
+  if (!host) return;
   if (const auto report = peering::DecodeUsageReport(bytes)) {
     const quota::ShareUpdate update{.report = report->number,
-                                    .shares = coordinator_.OnReport(report->usages, now)};
+                                    .shares = coordinator_.OnReport(*host, *report, now)};
     gossip_.SendDatagram(sender, peering::EncodeShareUpdate(update));
     return;
   }
--- a/src/app/internal/quota_exchange.h
+++ b/src/app/internal/quota_exchange.h
@@ -30,7 +30,7 @@
   /// Sends the usages that are due and the shares that all hosts must know. Called once per
   /// heartbeat interval.
   void OnInterval(bool is_leaving, base::Instant now);
-  /// A datagram from another host that is not a heartbeat.
+  /// A datagram that is not a heartbeat. Those of senders that are no known host are dropped.
   void OnDatagram(std::string_view bytes, const base::Endpoint& sender, base::Instant now);
 
  private:
--- a/src/edge/internal/request_proxy.inl
+++ b/src/edge/internal/request_proxy.inl
@@ -149,6 +149,9 @@
   // Closing the connection makes the target cancel the request.
   attempt->connection->Close();
   attempt->connection.reset();
+  // No end of the attempt will release the request if the engine ends it without a reply, as it
+  // does when the caller has left.
+  http1::Post(context_, [this, id] { EraseIfClosed(id); });
 }
 
 template <TrafficCodec Codec, RequestObserver Observer>
--- a/src/http1/internal/server.inl
+++ b/src/http1/internal/server.inl
@@ -73,7 +73,11 @@
   } else {
     const auto connection = std::make_shared<Connection>(*this, std::move(socket));
     connections_.insert(connection);
-    ++(connection->Start() ? counts_.accepted : counts_.refused_connections);
+    if (connection->Start()) {
+      ++counts_.accepted;
+    } else {
+      ++counts_.refused_connections;
+    }
   }
   Accept();
 }
--- a/src/http1/internal/server_connection.inl
+++ b/src/http1/internal/server_connection.inl
@@ -55,6 +55,7 @@
   has_checked_expect_ = false;
   header_bytes_ = 0;
   request_started_at_ = base::Instant::Never();
+  if (buffer_.size() == 0 && buffer_.capacity() > kReadBytes) buffer_.shrink_to_fit();
 }
 
 template <typename Handler>
@@ -317,7 +318,8 @@
 
 template <typename Handler>
 std::size_t ServerConnection<Handler>::ReadingBytes() const {
-  if (is_discarding_input_) return 0;
+  // Between requests there is nothing to refuse, whatever room the buffer keeps.
+  if (is_discarding_input_ || request_started_at_ == base::Instant::Never()) return 0;
   const std::size_t capacity = buffer_.capacity();
   const std::size_t excess = capacity > kReadBytes ? capacity - kReadBytes : 0;
   return excess + header_bytes_ + parser_->get().body().size();
--- a/src/http1/tests/server_memory_test.cc
+++ b/src/http1/tests/server_memory_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "http1/clock.h"
 #include "http1/server.h"
 #include "http1/tests/loopback.h"
 
@@ -77,6 +78,28 @@
   REQUIRE(fixture.RunUntil([&] { return fixture.recorder.requests.size() == 2; }));
 }
 
+// Guards against a refusal that no request has asked for, which the caller would take for the
+// answer to its next request.
+TEST_CASE("An idle connection whose last head came in parts is sent nothing when memory is short") {
+  Fixture fixture;
+  LoopbackSocket idle(fixture.server.port());
+  const std::string head = "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(10 * kKib, 'a');
+  fixture.SendAll(idle, head);
+  fixture.SendAll(idle, "\r\n\r\n");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.recorder.requests.empty(); }));
+  fixture.server.Reply(fixture.recorder.requests.begin()->first, {.body = "done"});
+  REQUIRE(fixture.RunUntil([&] { return idle.Received().ends_with("done"); }));
+  const std::string received = idle.Received();
+  // Connections that have been quiet for a second lose their memory first.
+  const base::Instant quiet_at = Now() + Duration::Milliseconds(1100);
+  REQUIRE(fixture.RunUntil([&] { return Now() > quiet_at; }));
+  std::vector<std::unique_ptr<LoopbackSocket>> others;
+  for (int i = 0; i < 6; ++i) others.push_back(fixture.SendUnfinished(100 * kKib));
+  REQUIRE(fixture.RunUntil([&] { return fixture.server.counts().requests_without_memory > 0; }));
+  RunBriefly(fixture.context);
+  REQUIRE(idle.Received() == received);
+}
+
 TEST_CASE("Requests that wait for their answer leave memory for small ones") {
   Fixture fixture;
   // Each takes twice its body, and large requests may not take the last quarter of the budget.
