Count usage reports once, bound what a tenant owes, and divide limits in partitions

Found by a reader of the change. Unanswered reports were counted again each time they were sent; they now keep their number. A minority of the hosts granted whole limits. Datagrams of strangers and lists of any length were taken. Refunds came for requests that were not charged, and none for some that were.

--- a/src/catalog/tenant_table.h
+++ b/src/catalog/tenant_table.h
@@ -18,7 +18,7 @@
   bool HasTenants() const { return configuration_ && !configuration_->tenants.empty(); }
   /// Returns null when no tenant holds the key. The tenant lives as long as the configuration.
   const Tenant* Find(const KeyDigest& key) const;
-  /// Priority of requests without a tenant: the lowest of all tenants.
+  /// Priority of requests without a tenant: after those of all tenants.
   std::uint32_t anonymous_priority() const { return anonymous_priority_; }
 
  private:
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -230,6 +230,13 @@
   return hosts;
 }
 
+std::optional<std::uint64_t> Members::FindHostKey(const base::Endpoint& peers) const {
+  for (const auto& [host, member] : members_) {
+    if (member.last_heartbeat.sender.peers == peers) return member.key;
+  }
+  return std::nullopt;
+}
+
 base::Instant Members::StoreServedSince(base::Instant heard_after, base::Instant now) const {
   base::Instant since = base::Instant::Never();
   for (const auto& [host, member] : members_) {
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -82,6 +83,8 @@
   /// name; hosts that are stopping are left out. At most `max_count`.
   std::vector<HostRecord> BestConnected(std::size_t max_count, bool is_leaving,
                                         base::Instant now) const;
+  /// Hash of the name of the host with this peer address; nullopt if none is known there.
+  std::optional<std::uint64_t> FindHostKey(const base::Endpoint& peers) const;
   /// Since when the store has served another host without an interruption that may have been an
   /// outage, from heartbeats received after `heard_after`: the earliest such instant. Never() if no
   /// live host says so.
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -13,6 +13,32 @@
 #include <limits>
 #include <sstream>
 
+namespace mangonotch::peering {
+
+/// A list with a maximum length, encoded like any other. Without it, a forged length would make the
+/// decoder allocate before it has read a single element.
+template <typename T>
+struct BoundedList {
+  std::vector<T>& list;
+  std::size_t max_size;
+
+  template <typename Archive>
+  void save(Archive& archive) const {
+    archive(list);
+  }
+
+  template <typename Archive>
+  void load(Archive& archive) {
+    cereal::size_type n = 0;
+    archive(cereal::make_size_tag(n));
+    if (n > max_size) throw cereal::Exception("list too long");
+    list.resize(static_cast<std::size_t>(n));
+    for (T& it : list) archive(it);
+  }
+};
+
+}  // namespace mangonotch::peering
+
 namespace mangonotch::base {
 
 /// IpAddress keeps an IPv4 address behind these bytes.
@@ -195,12 +221,12 @@
 
 template <typename Archive>
 void serialize(Archive& archive, UsageReport& it) {
-  archive(it.number, it.usages);
+  archive(it.number, peering::BoundedList<TenantUsage>{it.usages, kMaxUsages});
 }
 
 template <typename Archive>
 void serialize(Archive& archive, ShareUpdate& it) {
-  archive(it.report, it.shares);
+  archive(it.report, peering::BoundedList<TenantShare>{it.shares, kMaxShares});
 }
 
 }  // namespace mangonotch::quota
@@ -233,7 +259,9 @@
   template <typename Archive>
   void serialize(Archive& archive) {
     fleet::SerializeStatus(archive, heartbeat);
-    archive(heartbeat.loads, heartbeat.contacts, relayed);
+    archive(BoundedList<fleet::TargetLoad>{heartbeat.loads, kMaxLoads},
+            BoundedList<base::Endpoint>{heartbeat.contacts, kMaxContacts},
+            BoundedList<WireRelayed>{relayed, kMaxRelayed});
   }
 };
 
--- a/src/peering/tests/codec_test.cc
+++ b/src/peering/tests/codec_test.cc
@@ -80,6 +80,15 @@
   REQUIRE_FALSE(DecodeUsageReport("x"));
 }
 
+// Guards against a datagram that makes the process allocate gigabytes.
+TEST_CASE("A list that claims to be longer than allowed is refused before it is allocated") {
+  std::string report = EncodeUsageReport({.number = 7, .usages = {{.tenant = 1}}});
+  // The length follows the byte order, the magic number and the number of the report.
+  constexpr std::size_t kLengthAt = 1 + 4 + 8;
+  report[kLengthAt + 4] = 1;
+  REQUIRE_FALSE(DecodeUsageReport(report));
+}
+
 TEST_CASE("A report and an update of the largest size fit into a datagram") {
   quota::UsageReport report;
   report.usages.resize(quota::kMaxUsages);
--- a/src/quota/coordinator.h
+++ b/src/quota/coordinator.h
@@ -21,8 +21,14 @@
 
   void SetTenants(std::span<const catalog::Tenant> tenants);
 
-  /// Applies the usages of one host and returns the shares of the tenants in them.
-  std::vector<TenantShare> OnReport(std::span<const TenantUsage> usages, base::Instant now);
+  /// Sets the part of the hosts known lately that this host can reach, from 0 to 1. A minority of
+  /// them grants only its part of the limits: the others may have a coordinator of their own.
+  void SetReach(double part);
+
+  /// Applies the report of a host, unless it is the last one sent again, and returns the shares of
+  /// the tenants in it.
+  std::vector<TenantShare> OnReport(std::uint64_t host, const UsageReport& report,
+                                    base::Instant now);
 
   /// Shares to send to all hosts: those of tenants that have just reached their limit or are no
   /// longer held to it, and now and then those of tenants that stay at their limit.
@@ -54,11 +60,16 @@
   };
 
   static double DemandAt(const State& state, base::Instant now);
-  static double ShareOf(State& state, base::Instant now);
+  double ShareOf(State& state, base::Instant now) const;
+  double LevelOf(State& state, base::Instant now) const;
   void Apply(State& state, const TenantUsage& usage, base::Instant now);
 
   Terms terms_;
+  /// Part of the limits that this host grants.
+  double granted_part_ = 1;
   std::unordered_map<TenantKey, State> states_;
+  /// Number of the last report of each host, by the hash of its address.
+  std::unordered_map<std::uint64_t, std::uint64_t> last_reports_;
   std::uint32_t limited_ = 0;
 };
 
--- a/src/quota/internal/report_queue.cc
+++ b/src/quota/internal/report_queue.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace mangonotch::quota {
 namespace {
@@ -21,14 +22,36 @@
   for (const TenantUsage& it : usages) {
     TenantUsage& sum = waiting_[it.tenant];
     sum.tenant = it.tenant;
-    sum.admitted += it.admitted;
-    sum.refused += it.refused;
+    sum.admitted = std::clamp(sum.admitted + it.admitted, -kMaxCount, kMaxCount);
+    sum.refused = std::min(sum.refused + it.refused, static_cast<std::uint32_t>(kMaxCount));
     sum.share = it.share;
   }
 }
 
+void ReportQueue::TakeRepeats(std::span<const CoordinatorHost> hosts, base::Instant now,
+                              std::vector<Outgoing>& taken) {
+  for (auto it = sent_.begin(); it != sent_.end();) {
+    Sent& sent = it->second;
+    const auto host = std::find_if(
+        hosts.begin(), hosts.end(),
+        [&](const CoordinatorHost& candidate) { return candidate.key == sent.coordinator; });
+    if (host == hosts.end()) {
+      Add(sent.usages);
+      it = sent_.erase(it);
+      continue;
+    }
+    if (std::exchange(sent.is_repeat_due, false)) {
+      sent.answer_due_at = now + kAnswerTime;
+      taken.push_back({*host, {.number = it->first, .usages = sent.usages}});
+    }
+    ++it;
+  }
+}
+
 std::vector<ReportQueue::Outgoing> ReportQueue::TakeReports(std::span<const CoordinatorHost> hosts,
                                                             base::Instant now) {
+  std::vector<Outgoing> taken;
+  TakeRepeats(hosts, now, taken);
   std::set<std::uint64_t> busy;
   for (const auto& [number, sent] : sent_) busy.insert(sent.coordinator);
   std::map<std::uint64_t, Outgoing> reports;
@@ -43,7 +66,6 @@
     outgoing.report.usages.push_back(it->second);
     it = waiting_.erase(it);
   }
-  std::vector<Outgoing> taken;
   for (auto& [key, outgoing] : reports) {
     if (outgoing.report.usages.empty()) continue;
     outgoing.report.number = ++last_report_;
@@ -56,13 +78,11 @@
 
 std::vector<TenantUsage> ReportQueue::TakeUnanswered(base::Instant now) {
   std::vector<TenantUsage> unanswered;
-  std::erase_if(sent_, [&](const auto& it) {
-    const Sent& sent = it.second;
-    if (now < sent.answer_due_at) return false;
+  for (auto& [number, sent] : sent_) {
+    if (sent.is_repeat_due || now < sent.answer_due_at) continue;
+    sent.is_repeat_due = true;
     unanswered.insert(unanswered.end(), sent.usages.begin(), sent.usages.end());
-    return true;
-  });
-  Add(unanswered);
+  }
   return unanswered;
 }
 
--- a/src/quota/messages.h
+++ b/src/quota/messages.h
@@ -37,6 +37,9 @@
   bool operator==(const TenantShare&) const = default;
 };
 
+/// Requests of a tenant in a report, at most; more are not plausible.
+inline constexpr std::int32_t kMaxCount = 1'000'000;
+
 /// Maximum lengths of the lists, so that each message fits into a datagram.
 inline constexpr std::size_t kMaxUsages = 48;
 inline constexpr std::size_t kMaxShares = 96;
--- a/src/quota/report_queue.h
+++ b/src/quota/report_queue.h
@@ -26,28 +26,39 @@
 
 class ReportQueue {
  public:
+  /// `first_report`: number of the first report. Random, so that answers to the reports of an
+  /// earlier process of this host are not taken for answers to this one's.
+  explicit ReportQueue(std::uint64_t first_report) : last_report_(first_report) {}
+
   struct Outgoing {
     CoordinatorHost coordinator;
     UsageReport report;
   };
 
   void Add(std::span<const TenantUsage> usages);
-  /// Takes the reports to send now: one for each coordinator that has answered the last one.
+  /// Takes the reports to send now: one for each coordinator that has answered the last one, and
+  /// those without an answer once more.
   std::vector<Outgoing> TakeReports(std::span<const CoordinatorHost> hosts, base::Instant now);
   /// The report has been answered.
   void OnAnswer(std::uint64_t report) { sent_.erase(report); }
-  /// Usages of reports that were not answered in time. They are reported again: if only the answer
-  /// was lost they count twice, which admits less than the limit.
+  /// Usages of reports that were not answered in time. Their reports are sent again under the same
+  /// number, so that the coordinator does not count them twice.
   std::vector<TenantUsage> TakeUnanswered(base::Instant now);
 
  private:
   struct Sent {
     std::uint64_t coordinator = 0;
-    std::vector<TenantUsage> usages;
-    base::Instant answer_due_at;
+    std::vector<TenantUsage> usages{};
+    base::Instant answer_due_at{};
+    bool is_repeat_due = false;
   };
 
-  std::uint64_t last_report_ = 0;
+  /// Adds the reports that are to be sent again. Those to hosts that no longer coordinate are
+  /// dissolved: their usages are reported to the tenants' new coordinators.
+  void TakeRepeats(std::span<const CoordinatorHost> hosts, base::Instant now,
+                   std::vector<Outgoing>& taken);
+
+  std::uint64_t last_report_;
   std::map<TenantKey, TenantUsage> waiting_;
   /// Reports without an answer, by their numbers.
   std::map<std::uint64_t, Sent> sent_;
--- a/src/quota/terms.h
+++ b/src/quota/terms.h
@@ -19,7 +19,7 @@
   bool operator==(const Terms&) const = default;
 };
 
-/// Requests per second that a tenant may have for as long as it likes.
+/// Requests per second that a tenant may have indefinitely.
 inline double SustainedRate(const catalog::Tenant& tenant, const Terms& terms) {
   if (terms.window <= base::Duration()) return tenant.rate_limit;
   return tenant.rate_limit + tenant.burst / terms.window.seconds();
--- a/src/quota/tests/quota_test.cc
+++ b/src/quota/tests/quota_test.cc
@@ -86,12 +86,15 @@
 
   /// Only these hosts coordinate from now on.
   void SetCoordinators(std::vector<std::uint32_t> hosts) { coordinators_ = std::move(hosts); }
+  void SetReach(double part) {
+    for (auto& it : hosts_) it->coordinator.SetReach(part);
+  }
   void SetLinksUp(bool is_up) { is_link_up_ = is_up; }
 
  private:
   struct Host {
     explicit Host(std::uint32_t index)
-        : key(index), limiter(base::Mix(index + 1)), coordinator(kTerms) {}
+        : key(index), limiter(base::Mix(index + 1)), coordinator(kTerms), queue(1000 * index) {}
 
     std::uint32_t key;
     Limiter limiter;
@@ -128,7 +131,7 @@
     for (const auto& [chosen, report] : host.queue.TakeReports(candidates, now)) {
       Host& coordinator = *hosts_[chosen.key];
       Send([this, &host, &coordinator, report = report] {
-        const auto shares = coordinator.coordinator.OnReport(report.usages, At(now_ms_));
+        const auto shares = coordinator.coordinator.OnReport(host.key, report, At(now_ms_));
         Send([this, &host, shares, number = report.number] {
           host.queue.OnAnswer(number);
           host.limiter.ApplyShares(shares, At(now_ms_));
@@ -238,6 +241,44 @@
   REQUIRE(fleet.admitted() >= 0.5 * 120 * 5);
 }
 
+// Failure: each third of the hosts reaches only itself, and chooses a coordinator of its own.
+TEST_CASE("The limit holds over parts of the fleet that do not reach each other") {
+  const catalog::Tenant tenant = MakeTenant(120, 120);
+  std::size_t admitted = 0;
+  for (int part = 0; part < 3; ++part) {
+    Fleet fleet(23, tenant);
+    fleet.SetReach(1.0 / 3);
+    fleet.Play(5000, 200, 23);
+    fleet.Forget();
+    fleet.Play(10'000, 200, 23);
+    admitted += fleet.MostInWindow();
+  }
+  REQUIRE(static_cast<double>(admitted) <= Allowed(tenant));
+}
+
+// Failure: answers are lost for seconds, so that the same report comes again and again.
+TEST_CASE("A report that is sent again counts once") {
+  const catalog::Tenant tenant = MakeTenant(10, 10);
+  Coordinator coordinator(kTerms);
+  coordinator.SetTenants({&tenant, 1});
+  const UsageReport report{.number = 5, .usages = {{.tenant = KeyOf("tenant"), .admitted = 8}}};
+  for (int i = 0; i < 20; ++i) coordinator.OnReport(1, report, At(i * 400));
+  const UsageReport next{.number = 6, .usages = {{.tenant = KeyOf("tenant"), .admitted = 1}}};
+  REQUIRE(coordinator.OnReport(1, next, At(8000)).at(0).share == 1);
+}
+
+// Guards against a malformed count that keeps a tenant from its limit for long.
+TEST_CASE("A tenant recovers within seconds from an implausible report") {
+  const catalog::Tenant tenant = MakeTenant(10, 10);
+  Coordinator coordinator(kTerms);
+  coordinator.SetTenants({&tenant, 1});
+  const auto usage = [](std::int32_t admitted) {
+    return std::vector<TenantUsage>{{.tenant = KeyOf("tenant"), .admitted = admitted}};
+  };
+  coordinator.OnReport(1, {.number = 1, .usages = usage(2'000'000'000)}, At(0));
+  REQUIRE(coordinator.OnReport(2, {.number = 1, .usages = usage(1)}, At(10'000)).at(0).share == 1);
+}
+
 TEST_CASE("A lower limit takes hold within one window") {
   Fleet fleet(70, MakeTenant(200, 200));
   fleet.Play(5000, 300, 70);
--- a/src/steering/internal/engine.inl
+++ b/src/steering/internal/engine.inl
@@ -91,7 +91,7 @@
                    kOverQuotaRetryAfter, now);
     return;
   }
-  exchange.is_charged_to_quota = exchange.tenant != nullptr;
+  exchange.is_charged_to_quota = exchange.tenant && exchange.tenant->rate_limit > 0;
   exchange.deadline = std::min(attributes.deadline, now + exchange.route->timeout);
   exchange.affinity_key = exchange.route->has_affinity ? attributes.affinity_key : 0;
   exchange.service = &ServiceOf(PickService(*exchange.route));
@@ -177,6 +177,7 @@
     }
     Deliver(exchange, number, now);
   } else if (exchange.is_caller_gone) {
+    if (!exchange.may_have_run) RefundQuota(exchange);
     EraseExchange(exchange);
   } else if (exchange.CountOpenAttempts() == 0) {
     RetryOrReply(exchange, number, outcome.result, now);
@@ -277,8 +278,8 @@
   // A non-idempotent request in progress at a target runs to completion: cancelling it would leave
   // its changes half applied.
   if (!exchange.route->is_idempotent && exchange.CountOpenAttempts() > 0) return;
+  if (!exchange.may_have_run && exchange.CountOpenAttempts() == 0) RefundQuota(exchange);
   CancelOpenAttempts(exchange);
-  if (exchange.attempts.empty()) RefundQuota(exchange);
   EraseExchange(exchange);
   DispatchWaiting(service, now);
 }
--- a/src/steering/object_demand.h
+++ b/src/steering/object_demand.h
@@ -18,7 +18,7 @@
 /// Most homes of an object in average demand. More of them spread misses over more targets, which
 /// costs more than the shorter queues gain at high load (docs/design/placement-of-objects.md).
 inline constexpr std::uint32_t kMaxAverageHomes = 3;
-/// Bounds the homes of an object in high demand.
+/// Bounds the homes of an object in high demand, and with them the ranks to sort for each request.
 inline constexpr std::uint32_t kMaxHomes = 12;
 
 class ObjectDemand {
--- a/src/steering/target_speed.h
+++ b/src/steering/target_speed.h
@@ -8,8 +8,7 @@
 
 namespace mangonotch::steering {
 
-/// A straight line through the service times of a target against the load that the requests met
-/// there.
+/// A straight line through the service times of a target against its load when the answers came.
 class TargetSpeed {
  public:
   /// `load` is the number of other requests at the target.
--- a/src/steering/tests/deployment_model.h
+++ b/src/steering/tests/deployment_model.h
@@ -135,7 +135,7 @@
     return results_;
   }
 
-  /// Highest number of requests that a target of the service has run, relative to the mean.
+  /// Longest busy time of a target of the service, relative to the mean.
   double BusiestOverMean(const std::string& service) const {
     double sum = 0;
     double most = 0;
