--- a/src/app/internal/host_gauges.cc
+++ b/src/app/internal/host_gauges.cc
@@ -48,8 +48,9 @@
       target_connections_reused_(
           registry.AddGauge("mangonotch_target_connections_reused",
                             "Requests sent on a reused connection since the start")),
-      malformed_requests_(registry.AddGauge("mangonotch_malformed_requests",
-                                            "Requests refused while they were read since the start")),
+      malformed_requests_(
+          registry.AddGauge("mangonotch_malformed_requests",
+                            "Requests refused while they were read since the start")),
       caller_bytes_(registry.AddGauge("mangonotch_caller_bytes",
                                       "Memory in use for connections, requests and responses of "
                                       "callers")),
