--- a/src/http1/tests/server_memory_test.cc
+++ b/src/http1/tests/server_memory_test.cc
@@ -1,6 +1,7 @@
 // Tests the memory budget of Server and its limits on callers that send or read slowly. Guards
 // against callers that make the process hold more than its budget, and against large requests that
 // leave no memory for small ones.
+#include <array>
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
@@ -93,8 +94,8 @@
   // Connections that have been quiet for a second lose their memory first.
   const base::Instant quiet_at = Now() + Duration::Milliseconds(1100);
   REQUIRE(fixture.RunUntil([&] { return Now() > quiet_at; }));
-  std::vector<std::unique_ptr<LoopbackSocket>> others;
-  for (int i = 0; i < 6; ++i) others.push_back(fixture.SendUnfinished(100 * kKib));
+  std::array<std::unique_ptr<LoopbackSocket>, 6> others;
+  for (auto& it : others) it = fixture.SendUnfinished(100 * kKib);
   REQUIRE(fixture.RunUntil([&] { return fixture.server.counts().requests_without_memory > 0; }));
   RunBriefly(fixture.context);
   REQUIRE(idle.Received() == received);
--- a/src/quota/tests/quota_test.cc
+++ b/src/quota/tests/quota_test.cc
@@ -94,7 +94,10 @@
  private:
   struct Host {
     explicit Host(std::uint32_t index)
-        : key(index), limiter(base::Mix(index + 1)), coordinator(kTerms), queue(1000 * index) {}
+        : key(index),
+          limiter(base::Mix(index + 1)),
+          coordinator(kTerms),
+          queue(std::uint64_t{1000} * index) {}
 
     std::uint32_t key;
     Limiter limiter;
@@ -262,7 +265,7 @@
   Coordinator coordinator(kTerms);
   coordinator.SetTenants({&tenant, 1});
   const UsageReport report{.number = 5, .usages = {{.tenant = KeyOf("tenant"), .admitted = 8}}};
-  for (int i = 0; i < 20; ++i) coordinator.OnReport(1, report, At(i * 400));
+  for (std::int64_t i = 0; i < 20; ++i) coordinator.OnReport(1, report, At(i * 400));
   const UsageReport next{.number = 6, .usages = {{.tenant = KeyOf("tenant"), .admitted = 1}}};
   REQUIRE(coordinator.OnReport(1, next, At(8000)).at(0).share == 1);
 }
