--- a/src/quota/internal/limiter.cc
+++ b/src/quota/internal/limiter.cc
@@ -67,29 +67,32 @@
   return true;
 }
 
-bool Limiter::TryAdmit(const catalog::Tenant& tenant, base::Instant now) {
-  if (tenant.rate_limit == 0) return true;
+Limiter::State* Limiter::FindUsed(const catalog::Tenant& tenant) {
+  if (tenant.rate_limit == 0) return nullptr;
   const TenantKey key = KeyOf(tenant.name);
   const auto entry = states_.find(key);
-  if (entry == states_.end()) return true;
+  if (entry == states_.end()) return nullptr;
   State& state = entry->second;
   if (state.admitted == 0 && state.refused == 0) used_.push_back(key);
-  if (!Decide(state, now)) {
-    ++state.refused;
+  return &state;
+}
+
+bool Limiter::TryAdmit(const catalog::Tenant& tenant, base::Instant now) {
+  State* const state = FindUsed(tenant);
+  if (state == nullptr) return true;
+  if (!Decide(*state, now)) {
+    ++state->refused;
     return false;
   }
-  ++state.admitted;
+  ++state->admitted;
   return true;
 }
 
 void Limiter::Refund(const catalog::Tenant& tenant) {
-  const TenantKey key = KeyOf(tenant.name);
-  const auto entry = states_.find(key);
-  if (entry == states_.end()) return;
-  State& state = entry->second;
-  if (state.admitted == 0 && state.refused == 0) used_.push_back(key);
-  --state.admitted;
-  state.own_part.Take(-1);
+  State* const state = FindUsed(tenant);
+  if (state == nullptr) return;
+  --state->admitted;
+  state->own_part.Take(-1);
 }
 
 std::vector<TenantUsage> Limiter::TakeUsage(base::Instant now) {
--- a/src/quota/limiter.h
+++ b/src/quota/limiter.h
@@ -56,6 +56,8 @@
     bool is_unanswered = false;
   };
 
+  /// The state of a tenant whose usage changes now; null for one without a limit.
+  State* FindUsed(const catalog::Tenant& tenant);
   bool Decide(State& state, base::Instant now) const;
 
   std::uint64_t host_key_;
