Review case 6: a late heartbeat sends orders to a worker that leaves

The answer to a worker's heartbeat is lost, and the store carries the call out 4.6 s later, after the worker has reported draining. The entry names an older sequence, which nothing reads: the hosts take the worker for ready again and send it orders, which are cut when it exits.

--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -12,10 +12,10 @@
 /// to `orders`.
 class Deployment {
  public:
-  explicit Deployment(const std::string& folder)
-      : record(*new Record(folder + "/record.txt")), store(*new Store) {
+  explicit Deployment(const std::string& folder, int work_ms = 20)
+      : record(*new Record(folder + "/record.txt")), store(*new Store), work_ms_(work_ms) {
     for (const char* id : {"i-s1", "i-s2"}) AddWorker(id, "states");
-    for (const char* id : {"i-o1", "i-o2", "i-o3"}) AddWorker(id, "orders");
+    for (const char* id : {"i-o1", "i-o2", "i-o3", "i-o4", "i-o5"}) AddWorker(id, "orders");
     PutConfiguration(7);
   }
   ~Deployment() {
@@ -49,6 +49,23 @@
     return true;
   }
 
+  /// Waits for the worker's next heartbeat, whose call gets no answer and isn't done yet. Returns
+  /// the entry, and in `at` the time of the call.
+  std::string LoseHeartbeat(const std::string& id, Clock::time_point& at) {
+    {
+      const std::lock_guard lock(mutex_);
+      loses_beat_of_ = id;
+      lost_entry_.clear();
+    }
+    while (true) {
+      Sleep(5);
+      const std::lock_guard lock(mutex_);
+      if (lost_entry_.empty()) continue;
+      at = lost_at_;
+      return lost_entry_;
+    }
+  }
+
   /// Runs of each request over all workers.
   std::map<std::string, int> Runs() const {
     std::map<std::string, int> sum;
@@ -73,19 +90,35 @@
 
  private:
   void AddWorker(const std::string& id, const std::string& service) {
-    workers.push_back(
-        new Worker({.id = id, .service = service, .zone = "alfold-a", .slots = 8}, record));
+    workers.push_back(new Worker(
+        {.id = id, .service = service, .zone = "alfold-a", .slots = 8, .work_ms = work_ms_},
+        record));
     store.Put("servers/" + id, workers.back()->Entry().dump());
   }
   /// Each worker writes its entry every 1.5 s, as the settings say.
   void Heartbeat() {
-    for (int ms = 0; !is_ended_; ms += 50) {
-      Sleep(50);
-      if (ms % 1500 != 0) continue;
-      for (const Worker* it : workers) store.Put("servers/" + it->options.id, it->Entry().dump());
+    for (auto next = Clock::now(); !is_ended_; next += milliseconds(1500)) {
+      while (!is_ended_ && Clock::now() < next) Sleep(10);
+      for (Worker* const it : workers) {
+        if (it->has_ended) continue;
+        const std::string entry = it->Entry().dump();
+        const std::lock_guard lock(mutex_);
+        if (it->options.id == loses_beat_of_) {
+          loses_beat_of_.clear();
+          lost_entry_ = entry;
+          lost_at_ = Clock::now();
+        } else {
+          store.Put("servers/" + it->options.id, entry);
+        }
+      }
     }
   }
 
+  const int work_ms_;
+  std::mutex mutex_;
+  std::string loses_beat_of_;
+  std::string lost_entry_;
+  Clock::time_point lost_at_;
   std::atomic<bool> is_ended_ = false;
   std::thread heartbeat_;
 };
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -236,10 +236,11 @@
       std::fprintf(stderr, "cannot listen on %s:%d\n", ip.c_str(), port);
       _exit(kNotRun);
     }
+    fd_ = fd;
     std::thread([fd, serve = std::move(serve)] {
       while (true) {
         const int peer = accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
-        if (peer < 0) continue;
+        if (peer < 0) return;
         const int on = 1;
         setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         std::thread([peer, serve] {
@@ -250,9 +251,11 @@
     }).detach();
   }
   int port() const { return port_; }
+  void Stop() { shutdown(fd_, SHUT_RDWR); }
 
  private:
   int port_;
+  int fd_ = -1;
 };
 
 // The store.
@@ -469,7 +472,9 @@
         listener_("127.0.0.1", 0, [this](int fd) { Serve(fd); }) {}
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
-  Json Entry(const std::string& state = "ready") const {
+  /// What the worker writes of itself into the store.
+  Json Entry() const {
+    const char* const state = is_leaving ? "draining" : "ready";
     return {{"service", options.service},
             {"address", Address()},
             {"zone", options.zone},
@@ -480,6 +485,18 @@
             {"sequence", ++sequence_},
             {"born", born_}};
   }
+  /// When each run began, by the request's id; the first one of several.
+  std::map<std::string, Clock::time_point> Starts() const {
+    const std::lock_guard lock(mutex_);
+    return starts_;
+  }
+  /// The process ends: its address refuses connections, and those that are open are reset.
+  void End() {
+    has_ended = true;
+    listener_.Stop();
+    const std::lock_guard lock(mutex_);
+    for (const int fd : open_) shutdown(fd, SHUT_RDWR);
+  }
   /// Runs of each request, by its id.
   std::map<std::string, int> Runs() const {
     const std::lock_guard lock(mutex_);
@@ -487,6 +504,9 @@
   }
 
   const Options options;
+  /// Says so in its entry and in all its answers.
+  std::atomic<bool> is_leaving = false;
+  std::atomic<bool> has_ended = false;
   /// Called with the head of each request, before its body is read.
   std::function<void(int fd, const Message& head)> on_head;
   Send send;
@@ -497,9 +517,19 @@
 
  private:
   void Serve(int fd) {
+    {
+      const std::lock_guard lock(mutex_);
+      open_.insert(fd);
+    }
+    Answer(fd);
+    const std::lock_guard lock(mutex_);
+    open_.erase(fd);
+  }
+
+  void Answer(int fd) {
     Reader reader(fd);
     Message request;
-    while (reader.ReadHead(request) == Reader::End::kWhole) {
+    while (reader.ReadHead(request) == Reader::End::kWhole && !has_ended) {
       if (on_head) on_head(fd, request);
       if (reader.ReadBody(request) != Reader::End::kWhole) return;
       if (request.Target() == "/healthz") {
@@ -519,17 +549,18 @@
       {
         const std::lock_guard lock(mutex_);
         ++runs_[id];
+        starts_.emplace(id, Clock::now());
       }
       record_.Line("run worker=" + options.id + " service=" + options.service + " id=" + id + " " +
                    request.Method() + " " + request.Target());
       Sleep(options.work_ms);
       const int running = --running_;
-      const std::string text =
-          MakeResponse(200,
-                       "X-Attempt-Id: " + id + "\r\nX-Response-Signature: " + Signature(id) +
-                           "\r\nX-Server-Load: " + std::to_string(running) + ",0," +
-                           std::to_string(options.slots) + "\r\n",
-                       body(request));
+      const std::string text = MakeResponse(
+          200,
+          "X-Attempt-Id: " + id + "\r\nX-Response-Signature: " + Signature(id) +
+              "\r\nX-Server-Load: " + std::to_string(running) + ",0," +
+              std::to_string(options.slots) + (is_leaving ? "\r\nServer-Leaving: 1\r\n" : "\r\n"),
+          body(request));
       if (send ? !send(fd, request, text) : !SendAll(fd, text)) return;
     }
   }
@@ -541,6 +572,8 @@
   Record& record_;
   mutable std::mutex mutex_;
   std::map<std::string, int> runs_;
+  std::map<std::string, Clock::time_point> starts_;
+  std::set<int> open_;
   std::atomic<int> running_ = 0;
   mutable std::atomic<int> sequence_ = 0;
   const std::int64_t born_ =
