--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -12,10 +12,10 @@
 /// to `orders`.
 class Deployment {
  public:
-  explicit Deployment(const std::string& folder, int work_ms = 20)
+  explicit Deployment(const std::string& folder, int work_ms = 20, int order_workers = 5)
       : record(*new Record(folder + "/record.txt")), store(*new Store), work_ms_(work_ms) {
     for (const char* id : {"i-s1", "i-s2"}) AddWorker(id, "states");
-    for (const char* id : {"i-o1", "i-o2", "i-o3", "i-o4", "i-o5"}) AddWorker(id, "orders");
+    for (int i = 1; i <= order_workers; ++i) AddWorker("i-o" + std::to_string(i), "orders");
     PutConfiguration(7);
   }
   ~Deployment() {
@@ -49,6 +49,12 @@
     return true;
   }
 
+  /// Waits until the workers have written their entries the next time.
+  void WaitForHeartbeat() const {
+    const int before = heartbeats_;
+    while (heartbeats_ == before) Sleep(5);
+  }
+
   /// Waits for the worker's next heartbeat, whose call gets no answer and isn't done yet. Returns
   /// the entry, and in `at` the time of the call.
   std::string LoseHeartbeat(const std::string& id, Clock::time_point& at) {
@@ -111,6 +117,7 @@
           store.Put("servers/" + it->options.id, entry);
         }
       }
+      ++heartbeats_;
     }
   }
 
@@ -119,6 +126,7 @@
   std::string loses_beat_of_;
   std::string lost_entry_;
   Clock::time_point lost_at_;
+  std::atomic<int> heartbeats_ = 0;
   std::atomic<bool> is_ended_ = false;
   std::thread heartbeat_;
 };
--- a/review/standins-2/entry_case.cc
+++ b/review/standins-2/entry_case.cc
@@ -9,12 +9,15 @@
 constexpr int kRunMs = 12000;
 constexpr int kClientsPerHost = 12;
 constexpr int kPauseMs = 10;
-/// The other writer puts its entry so many times, at these intervals.
+/// Little room is left at the workers of the orders.
+constexpr int kOrderWorkers = 3;
+constexpr int kWorkMs = 60;
+/// The other writer puts its entry so many times, with these pauses and just after a heartbeat.
 constexpr int kForeignEntries = 3;
-constexpr int kTroubleEveryMs = 3100;
+constexpr int kTroubleEveryMs = 1500;
 
 int Run(const std::string& folder) {
-  Deployment deployment(folder);
+  Deployment deployment(folder, kWorkMs, kOrderWorkers);
   if (!deployment.Start()) return kNotRun;
   std::mutex mutex;
   std::map<std::string, int> answers;
@@ -36,6 +39,7 @@
   }
   for (int i = 0; i < kForeignEntries; ++i) {
     Sleep(kTroubleEveryMs);
+    deployment.WaitForHeartbeat();
     if (!HasTrouble()) continue;
     // No configVersion, no coldRemaining, no born, and a sequence that is no number.
     const Json entry = {{"service", "orders"}, {"address", deployment.worker("i-s1").Address()},
