--- a/review/standins-2/beat_case.cc
+++ b/review/6/case.cc
@@ -19,8 +19,8 @@
 /// The mean of the site's orders.
 constexpr int kWorkMs = 700;
 
-int Run(const std::string& folder) {
-  Deployment deployment(folder, kWorkMs);
+int Run(const std::string& record_path) {
+  Deployment deployment(record_path, kWorkMs);
   Record& record = deployment.record;
   if (!deployment.Start()) return kNotRun;
   std::mutex mutex;
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -12,8 +12,8 @@
 /// to `orders`.
 class Deployment {
  public:
-  explicit Deployment(const std::string& folder, int work_ms = 20, int order_workers = 5)
-      : record(*new Record(folder + "/record.txt")), store(*new Store), work_ms_(work_ms) {
+  explicit Deployment(const std::string& record_path, int work_ms = 20, int order_workers = 5)
+      : record(*new Record(record_path)), store(*new Store), work_ms_(work_ms) {
     for (const char* id : {"i-s1", "i-s2"}) AddWorker(id, "states");
     for (int i = 1; i <= order_workers; ++i) AddWorker("i-o" + std::to_string(i), "orders");
     PutConfiguration(7);
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -751,9 +751,9 @@
          "\r\nX-Timeout-Remaining: " + std::to_string(timeout_ms) + "\r\n" + headers + "\r\n";
 }
 
-/// Runs a case with its folder as the only argument. Ends it after 110 seconds at the latest, and
-/// the hosts with it.
-inline int Main(int argc, char** argv, int (*run)(const std::string& folder)) {
+/// Runs a case with the path of its record.txt as the only argument. Ends it after 110 seconds at
+/// the latest, and the hosts with it.
+inline int Main(int argc, char** argv, int (*run)(const std::string& record_path)) {
   signal(SIGPIPE, SIG_IGN);
   if (argc != 2) return kNotRun;
   alarm(110);
