--- a/src/http/tests/raw_peer.h
+++ b/src/http/tests/raw_peer.h
@@ -94,6 +94,12 @@
       fd_ = -1;
     }
   }
+  /// Closes the connection with a TCP reset.
+  void Reset() {
+    const linger discard{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    Close();
+  }
 
  private:
   int fd_;
--- a/src/http1/tests/client_connection_test.cc
+++ b/src/http1/tests/client_connection_test.cc
@@ -10,13 +10,11 @@
 #include <sstream>
 #include <string>
 
-#include "http1/tests/loopback.h"
+#include "http1/tests/client_fixture.h"
 
 namespace mangonotch::http1 {
 namespace {
 
-constexpr ClientLimits kLimits{.connect_time = base::Duration::Milliseconds(300)};
-
 /// Whether the kernel has a keep-alive timer for the connection to the local port `server_port`.
 bool HasProbeTimer(std::uint16_t server_port) {
   constexpr std::string_view kKeepAliveTimer = "02";
@@ -33,46 +31,12 @@
   return false;
 }
 
-struct Fixture {
-  explicit Fixture(const ClientLimits& limits = kLimits,
-                   std::shared_ptr<ByteBudget> body_budget = nullptr)
-      : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}),
-        connection(std::make_shared<ClientConnection>(context, limits, std::move(body_budget))) {}
-  ~Fixture() { connection->Close(); }
-
-  void Exchange() {
-    result.reset();
-    connection->Exchange(
-        LoopbackAt(acceptor.local_endpoint().port()), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false,
-        [](const Response& it) { return FindHeader(it.headers, "Id") != "other"; },
-        [this](ExchangeResult it) { result = std::move(it); });
-  }
-  /// The server's end of the connection; waits until the request has been received.
-  LoopbackSocket& Server() {
-    if (!server) server.emplace(acceptor);
-    const bool has_request =
-        RunContext(context, [&] { return server->Received().ends_with("\r\n\r\n"); });
-    REQUIRE(has_request);
-    return *server;
-  }
-  /// Runs the client until the exchange has ended; false on timeout.
-  bool RunUntilDone() {
-    return RunContext(context, [&] { return result.has_value(); });
-  }
-
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor;
-  std::shared_ptr<ClientConnection> connection;
-  std::optional<LoopbackSocket> server;
-  std::optional<ExchangeResult> result;
-};
-
 }  // namespace
 
 TEST_CASE("A connection that waits for a late answer is probed, so that a silent one is detected") {
-  ClientLimits limits = kLimits;
+  ClientLimits limits = kClientLimits;
   limits.probes_silence = true;
-  Fixture fixture(limits);
+  ClientFixture fixture(limits);
   fixture.Exchange();
   fixture.Server();
   const std::uint16_t port = fixture.acceptor.local_endpoint().port();
@@ -80,7 +44,7 @@
 }
 
 TEST_CASE("A complete response is delivered and the connection stays reusable") {
-  Fixture fixture;
+  ClientFixture fixture;
   fixture.Exchange();
   fixture.Server().Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nab");
   REQUIRE(fixture.RunUntilDone());
@@ -98,7 +62,7 @@
                            "HTTP/1.1 200 OK\r\nConte", ""}) {
     for (const bool is_reset : {false, true}) {
       INFO(part << is_reset);
-      Fixture fixture;
+      ClientFixture fixture;
       fixture.Exchange();
       fixture.Server().Send(part);
       is_reset ? fixture.server->Reset() : fixture.server->Close();
@@ -117,7 +81,7 @@
         "HTTP/1.1 200 OK\r\nId: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"}) {
     for (std::size_t cut = 0; cut < whole.size(); ++cut) {
       CAPTURE(whole, cut);
-      Fixture fixture;
+      ClientFixture fixture;
       fixture.Exchange();
       // In two segments, so that the first is parsed before the second arrives.
       fixture.Server().Send(whole.substr(0, cut / 2));
@@ -132,7 +96,7 @@
 
 TEST_CASE("A response without a length ends at the close of the connection, but not at a reset") {
   for (const bool is_reset : {false, true}) {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.Exchange();
     fixture.Server().Send("HTTP/1.1 200 OK\r\n\r\nabc");
     RunBriefly(fixture.context);
@@ -145,7 +109,7 @@
 }
 
 TEST_CASE("Interim responses and a response to another request are discarded") {
-  Fixture fixture;
+  ClientFixture fixture;
   fixture.Exchange();
   fixture.Server().Send(
       "HTTP/1.1 100 Continue\r\n\r\n"
@@ -156,14 +120,14 @@
 }
 
 TEST_CASE("Data after a response or on an idle connection closes the connection") {
-  Fixture trailing;
+  ClientFixture trailing;
   trailing.Exchange();
   trailing.Server().Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n");
   REQUIRE(trailing.RunUntilDone());
   REQUIRE(trailing.result->response.body == "x");
   REQUIRE_FALSE(trailing.connection->is_reusable());
 
-  Fixture idle;
+  ClientFixture idle;
   idle.Exchange();
   idle.Server().Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   REQUIRE(idle.RunUntilDone());
@@ -194,9 +158,9 @@
   constexpr std::size_t kMaxBytes = std::size_t{1024} * 1024;
   for (const auto& [start, repeated] : parts) {
     INFO(start << "..." << repeated.substr(0, 40));
-    ClientLimits limits = kLimits;
+    ClientLimits limits = kClientLimits;
     limits.body_bytes = kMaxBytes / 2;
-    Fixture fixture(limits);
+    ClientFixture fixture(limits);
     fixture.Exchange();
     fixture.Server().Send(start.empty() ? repeated : start);
     std::string block;
@@ -216,15 +180,15 @@
   constexpr std::size_t kConnections = 8;
   constexpr std::size_t kBudget = std::size_t{256} * 1024;
   const auto budget = std::make_shared<ByteBudget>(kBudget);
-  ClientLimits limits = kLimits;
+  ClientLimits limits = kClientLimits;
   limits.unreserved_body_bytes = std::size_t{16} * 1024;
-  std::vector<std::unique_ptr<Fixture>> fixtures;
+  std::vector<std::unique_ptr<ClientFixture>> fixtures;
   for (std::size_t i = 0; i < kConnections; ++i) {
-    fixtures.push_back(std::make_unique<Fixture>(limits, budget));
+    fixtures.push_back(std::make_unique<ClientFixture>(limits, budget));
     fixtures.back()->Exchange();
     fixtures.back()->Server().Send("HTTP/1.1 200 OK\r\n\r\n");
   }
-  Fixture small(limits, budget);
+  ClientFixture small(limits, budget);
   small.Exchange();
   LoopbackSocket& small_server = small.Server();
   const std::string block(4096, 'a');
@@ -256,7 +220,7 @@
     for (const char* rest :
          {" OK\r\nContent-Length: 2\r\n\r\nab", "\r\nContent-Length: 0\r\n\r\n"}) {
       CAPTURE(status, rest);
-      Fixture fixture;
+      ClientFixture fixture;
       fixture.Exchange();
       fixture.Server().Send(std::string("HTTP/1.1 ") + status + rest);
       REQUIRE(fixture.RunUntilDone());
@@ -266,7 +230,7 @@
   }
   for (const char* status : {"200", "599"}) {
     CAPTURE(status);
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.Exchange();
     fixture.Server().Send(std::string("HTTP/1.1 ") + status +
                           " Any\r\nContent-Length: 2\r\n\r\nab");
@@ -276,7 +240,7 @@
 }
 
 TEST_CASE("Data that is not an HTTP response is an error") {
-  Fixture fixture;
+  ClientFixture fixture;
   fixture.Exchange();
   fixture.Server().Send("\x16\x03\x01 nothing\r\n\r\n");
   REQUIRE(fixture.RunUntilDone());
@@ -286,7 +250,7 @@
 // After kNotSent even a non-idempotent request is retried at another target, so the request must
 // not have reached the server.
 TEST_CASE("A refused connection is reported as not sent") {
-  Fixture fixture;
+  ClientFixture fixture;
   const std::uint16_t port = fixture.acceptor.local_endpoint().port();
   fixture.acceptor.close();
   std::optional<ExchangeResult> result;
@@ -298,7 +262,7 @@
 }
 
 TEST_CASE("The close of an idle connection is detected") {
-  Fixture fixture;
+  ClientFixture fixture;
   fixture.Exchange();
   fixture.Server().Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   REQUIRE(fixture.RunUntilDone());
--- a/src/http1/tests/loopback.h
+++ b/src/http1/tests/loopback.h
@@ -69,6 +69,8 @@
     socket_.set_option(boost::asio::socket_base::receive_buffer_size(bytes));
   }
   void Close() { socket_.close(); }
+  /// Sends no more, but stays open for what the peer sends.
+  void ShutDownSending() { socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
   /// Closes the connection with a TCP reset.
   void Reset() {
     socket_.set_option(boost::asio::socket_base::linger(true, 0));
--- a/src/peering/tests/gossip_test.cc
+++ b/src/peering/tests/gossip_test.cc
@@ -79,6 +79,30 @@
   Gossip gossip;
 };
 
+/// Sends heartbeats of a host that has a catalog to fetch, but is not there otherwise.
+class HeartbeatSender {
+ public:
+  HeartbeatSender(boost::asio::io_context& context, const TestHost& receiver,
+                  const base::Endpoint& own_address)
+      : heartbeat_{.sender = {.host = "host-1", .zone = "a1", .callers = {}, .peers = own_address},
+                   .incarnation = 1,
+                   .has_fresh_catalog = true,
+                   .catalog_sequence = 9,
+                   .newest = {.operator_records = 10}},
+        socket_(context, boost::asio::ip::udp::v4()),
+        receiver_(boost::asio::ip::address_v4::loopback(), receiver.members.self().peers.port) {}
+
+  void Send() {
+    ++heartbeat_.sequence;
+    socket_.send_to(boost::asio::buffer(EncodeHeartbeat(heartbeat_)), receiver_);
+  }
+
+ private:
+  fleet::Heartbeat heartbeat_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::ip::udp::endpoint receiver_;
+};
+
 /// Two watchers and a follower. All know version 1 and a target.
 struct Fixture {
   explicit Fixture(const std::string& zone_of_second = "a1")
@@ -149,28 +173,14 @@
   healthy.registry.PutConfiguration(MakeConfiguration(1), 10);
   TestHost follower(context, "host-3", "a1", false);
   follower.gossip.Start();
-  // Sends heartbeats, but does not listen for connections.
-  fleet::Heartbeat unreachable{.sender = {.host = "host-1",
-                                          .zone = "a1",
-                                          .callers = {},
-                                          .peers = http1::LoopbackAt(FreePort())},
-                               .incarnation = 1,
-                               .has_fresh_catalog = true,
-                               .catalog_sequence = 9,
-                               .newest = {.operator_records = 10}};
-  boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
-  const boost::asio::ip::udp::endpoint receiver(boost::asio::ip::address_v4::loopback(),
-                                                follower.members.self().peers.port);
-  const auto send_heartbeat = [&] {
-    ++unreachable.sequence;
-    socket.send_to(boost::asio::buffer(EncodeHeartbeat(unreachable)), receiver);
-  };
-  send_heartbeat();
+  // Does not listen for connections.
+  HeartbeatSender unreachable(context, follower, http1::LoopbackAt(FreePort()));
+  unreachable.Send();
   http1::RunBriefly(context);
   healthy.members.AddContact(follower.members.self().peers, http1::Now());
   healthy.gossip.Start();
   REQUIRE(http1::RunContext(context, [&] {
-    send_heartbeat();
+    unreachable.Send();
     return follower.ConfigurationVersion() == 1;
   }));
 }
