A reset during an upload no longer ends an answer in order

Cause: the kernel reports the failure of a connection to one operation only. While an upload is being written, epoll wakes the write and the read together and Asio runs the write first. The write took ECONNRESET and ignored it, because a pending read was to decide; the read then found the end of the stream, which ends a body without a length.

Fix: ClientConnection keeps the error that a write was told, and a read that finds the end of the stream afterwards reports that error. A broken pipe is no such error: it means that the target had closed in order before the reset, so that what it sent is complete and is still delivered. A target that neither reads the upload nor resets the connection had the same effect once the kernel gave the connection up (TCP_USER_TIMEOUT); its time of last contact is now right, too.

--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/system/error_code.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -124,6 +125,8 @@
   bool is_closed_ = false;
   bool is_reading_ = false;
   bool is_writing_ = false;
+  /// Why the connection failed, if a write has been told; not set after an orderly close.
+  boost::system::error_code connection_error_;
   /// Responses discarded in the exchange in progress.
   std::uint32_t discarded_responses_ = 0;
   base::Instant usable_until_ = base::Instant::Never();
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -114,6 +114,8 @@
              self->is_writing_ = false;
              self->write_buffer_ = std::string();  // Idle connections keep no request.
              if (self->is_closed_ || !self->is_busy_) return;
+             // A reset that follows the server's orderly close leaves a broken pipe.
+             if (ec != boost::asio::error::broken_pipe) self->connection_error_ = ec;
              // The server may have responded before it closed the connection, so a pending read
              // determines the result.
              if (ec && !self->is_reading_) {
@@ -143,6 +145,9 @@
 }
 
 void ClientConnection::OnRead(boost::system::error_code ec, std::size_t n) {
+  // The kernel reports the failure of a connection to one operation only. If that was the write, a
+  // read finds the end of the stream, as if the server had closed it in order.
+  if (ec == boost::asio::error::eof && connection_error_) ec = connection_error_;
   // The server or its machine has closed the connection, unless the kernel has given up waiting.
   last_contact_ = ec == boost::asio::error::timed_out ? Now() - kSilenceTime : Now();
   if (!is_busy_) {
