An announced length over the limit ends the exchange, not the process

Callers saw (LOST): a target whose answer announced a Content-Length of 1,000,000,000,000 or 99,999,999,999 ended the host with std::bad_alloc under ClientConnection::ParseBuffered, and with it the requests of all its callers.

Cause: the parser was eager from the start. When the head says more than body_limit, Beast's put() sets the error and, if it is eager and more bytes are there, goes on to the body all the same: it reserves the announced length and overwrites the error. So a part of the body in the segment of the head meant an allocation of any size, and a length over the limit that could be allocated passed the limit.

Fix: the parser becomes eager once the head is done, as in src/http; put() then returns after the head, with the error. That holds wherever answers are read through ClientConnection: targets, the store, other hosts.

The existing case of bytes without end sent the head alone first and did not reach the fault. http::Client was not affected: its parser was eager after the head only.

--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -128,7 +128,6 @@
 void ClientConnection::ResetParser() {
   ReleaseBody();
   parser_.emplace();
-  parser_->eager(true);
   parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
   parser_->body_limit(limits_.body_bytes);
   parser_->skip(is_head_);
@@ -189,6 +188,9 @@
       Finish(ExchangeError::kBroken, "malformed answer", {});
       return;
     }
+    // Only now: an eager parser goes on to the body, for which it allocates the announced length,
+    // although it has found that length to be over the limit.
+    if (parser_->is_header_done()) parser_->eager(true);
     if (!ReserveBody()) {
       Finish(ExchangeError::kBroken, "answers too large together", {});
       return;
--- a/src/http1/tests/broken_response_test.cc
+++ b/src/http1/tests/broken_response_test.cc
@@ -103,4 +103,29 @@
   }
 }
 
+// Guards against a server whose announcement alone made the process allocate more than there is, or
+// passed over the limit: with the head in one segment came a part of the body.
+TEST_CASE("A response that announces more than the limit ends the exchange, whatever follows") {
+  ClientLimits limits = kClientLimits;
+  limits.body_bytes = 1000;
+  for (const char* const length : {"1001", "99999999999", "1000000000000", "9223372036854775808",
+                                   "18446744073709551615", "18446744073709551616"}) {
+    for (const std::string& body : {std::string(), std::string("a"), std::string(1001, 'a')}) {
+      CAPTURE(length, body.size());
+      ClientFixture fixture(limits);
+      fixture.Exchange();
+      fixture.Server().Send(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length +
+                            "\r\n\r\n" + body);
+      REQUIRE(fixture.RunUntilDone());
+      CHECK(fixture.result->error == ExchangeError::kBroken);
+      CHECK(fixture.server->IsClosed());
+    }
+  }
+  ClientFixture fixture(limits);
+  fixture.Exchange();
+  fixture.Server().Send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'a'));
+  REQUIRE(fixture.RunUntilDone());
+  CHECK(fixture.result->error == ExchangeError::kNone);
+}
+
 }  // namespace mangonotch::http1
--- a/src/peering/tests/gossip_test.cc
+++ b/src/peering/tests/gossip_test.cc
@@ -185,4 +185,35 @@
   }));
 }
 
+// Guards against a host that ends, or applies what it got, because of another one in trouble.
+TEST_CASE("A host whose source sends broken answers applies none and fetches from another one") {
+  discovery::Registry other(
+      {.min_outage = Duration::Seconds(3), .recovery_time = Duration::Seconds(2)});
+  other.PutConfiguration(MakeConfiguration(9), 10);
+  const std::string body = EncodeChanges(other.ChangesSince(0), http1::Now());
+  for (const std::string& framing : {std::string("Content-Length: 1000000000000")}) {
+    CAPTURE(framing);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+    TestHost healthy(context, "host-2", "a1", true);
+    healthy.registry.PutConfiguration(MakeConfiguration(1), 10);
+    TestHost follower(context, "host-3", "a1", false);
+    follower.gossip.Start();
+    HeartbeatSender troubled(context, follower,
+                             http1::LoopbackAt(acceptor.local_endpoint().port()));
+    troubled.Send();
+    http1::RunBriefly(context);
+    http1::LoopbackSocket source(acceptor);
+    source.Send("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n" + body);
+    http1::RunBriefly(context);
+    CHECK(follower.ConfigurationVersion() == 0);
+    healthy.members.AddContact(follower.members.self().peers, http1::Now());
+    healthy.gossip.Start();
+    REQUIRE(http1::RunContext(context, [&] {
+      troubled.Send();
+      return follower.ConfigurationVersion() == 1;
+    }));
+  }
+}
+
 }  // namespace mangonotch::peering
