An answer in a transfer coding other than chunked is none

Callers saw (MIXED): the body of an answer with "Transfer-Encoding: gzip, chunked" without its chunks but still coded, and that of "chunked, chunked", "chunked, gzip", an unknown or an empty coding with its chunk sizes in it, under a head that named no coding: the proxy takes the header of the transfer coding away, as it holds for one connection only.

Cause: Beast decodes chunked where it stands last, reads to the end of the connection otherwise, and leaves other codings to its caller; ClientConnection did not look.

--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -98,6 +98,8 @@
   /// A read has completed while no exchange is in progress.
   void OnIdleRead();
   void ParseBuffered();
+  /// Checks the head when the parser has taken the last of it; false if it cannot be used.
+  bool AcceptHead();
   void ResetParser();
   /// Reserves the part of the body that has been received; false if the budget has no room.
   bool ReserveBody();
--- a/src/http1/internal/beast_convert.cc
+++ b/src/http1/internal/beast_convert.cc
@@ -49,6 +49,13 @@
   return !(has_length && has_encoding) && message.count(http::field::host) == 1;
 }
 
+bool HasUnambiguousFraming(const BeastResponse& message) {
+  const std::size_t encodings = message.count(http::field::transfer_encoding);
+  if (encodings == 0) return true;
+  const auto coding = ToString(message[http::field::transfer_encoding]);
+  return encodings == 1 && EqualsIgnoringCase(coding, "chunked");
+}
+
 unsigned StatusOfParseError(const boost::system::error_code& ec) {
   if (ec == http::error::header_limit) return 431;
   if (ec == http::error::body_limit) return 413;
--- a/src/http1/internal/beast_convert.h
+++ b/src/http1/internal/beast_convert.h
@@ -17,6 +17,9 @@
 /// False for a request with both Content-Length and Transfer-Encoding, which permits request
 /// smuggling, and for one that does not have exactly one Host header.
 bool HasUnambiguousFraming(const BeastRequest& message);
+/// False for a response in another transfer coding than chunked: its body would be passed on coded,
+/// without the header that says so.
+bool HasUnambiguousFraming(const BeastResponse& message);
 /// HTTP status of the response to a request that the parser rejects.
 unsigned StatusOfParseError(const boost::system::error_code& ec);
 
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -182,15 +182,14 @@
 void ClientConnection::ParseBuffered() {
   while (is_busy_ && !is_closed_ && buffer_.size() > 0) {
     boost::system::error_code ec;
+    const bool is_in_head = !parser_->is_header_done();
     const std::size_t used = parser_->put(buffer_.data(), ec);
     buffer_.consume(used);
-    if (ec && ec != boost::beast::http::error::need_more) {
+    const bool is_malformed = ec && ec != boost::beast::http::error::need_more;
+    if (is_malformed || (is_in_head && !AcceptHead())) {
       Finish(ExchangeError::kBroken, "malformed answer", {});
       return;
     }
-    // Only now: an eager parser goes on to the body, for which it allocates the announced length,
-    // although it has found that length to be over the limit.
-    if (parser_->is_header_done()) parser_->eager(true);
     if (!ReserveBody()) {
       Finish(ExchangeError::kBroken, "answers too large together", {});
       return;
@@ -210,6 +209,14 @@
   Read();
 }
 
+bool ClientConnection::AcceptHead() {
+  if (!parser_->is_header_done()) return true;
+  // Only now: an eager parser goes on to the body, for which it allocates the announced length,
+  // although it has found that length to be over the limit.
+  parser_->eager(true);
+  return HasUnambiguousFraming(parser_->get());
+}
+
 bool ClientConnection::ReserveBody() {
   if (!body_budget_) return true;
   const std::size_t size = parser_->get().body().size();
--- a/src/http1/tests/broken_response_test.cc
+++ b/src/http1/tests/broken_response_test.cc
@@ -23,6 +23,16 @@
   REQUIRE(fixture.connection->is_reusable());
 }
 
+/// Checks that a server which sends `bytes` and closes has sent no response.
+void CheckIsBroken(const std::string& bytes) {
+  ClientFixture fixture;
+  fixture.Exchange();
+  fixture.Server().Send(bytes);
+  fixture.server->Close();
+  REQUIRE(fixture.RunUntilDone());
+  CHECK(fixture.result->error == ExchangeError::kBroken);
+}
+
 }  // namespace
 
 // Guards against a server that responds to a long upload at once, without a length, and resets the
@@ -128,4 +138,18 @@
   CHECK(fixture.result->error == ExchangeError::kNone);
 }
 
+// Guards against a body that callers got in a coding that the head they got did not name.
+TEST_CASE("A response in a transfer coding other than chunked is none") {
+  for (const char* const codings :
+       {"gzip", "gzip, chunked", "chunked, gzip", "identity", "chunked, chunked", "xchunked", ""}) {
+    CAPTURE(codings);
+    CheckIsBroken(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") + codings +
+                  "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  }
+  CheckIsBroken(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\n\r\n");
+  CheckIsBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok");
+}
+
 }  // namespace mangonotch::http1
