A line of a head that begins with a blank makes the answer none

Here that happened where the blank came first: "A: b", then " Content-Length: 2" was taken for one field "A: b Content-Length: 2", which was passed on, and the body was read by other framing.

Cause: Beast takes such a line for the rest of the one before (obsolete line folding). Blanks and control bytes elsewhere in a name were rejected already, in heads, interim answers and trailers; the tests stay.

Fix: ClientConnection and AnswerReader look at the lines that the parser has taken of a head and reject a folded one, as RFC 9112, section 5.2, allows a proxy. Folds in trailers are left: no framing comes after them.

--- a/src/http/internal/answer_reader.cc
+++ b/src/http/internal/answer_reader.cc
@@ -15,6 +15,13 @@
 
 std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
+/// Whether a line of a head begins with a blank. Beast takes it for the rest of the line before
+/// (obsolete line folding, RFC 9112, section 5.2).
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 }  // namespace
 
 class AnswerReader::Impl {
@@ -29,8 +36,12 @@
     seen_any_ = true;
     while (!pending_.empty() && !parser_->is_done()) {
       boost::system::error_code ec;
+      const bool is_in_head = !parser_->is_header_done();
       const std::size_t n =
           parser_->put(boost::asio::const_buffer(pending_.data(), pending_.size()), ec);
+      if (is_in_head && HasFoldedLine(std::string_view(pending_).substr(0, n))) {
+        Fail(Failure::kMalformed, "folded header line");
+      }
       pending_.erase(0, n);
       if (ec == beast_http::error::need_more) {
         return false;
--- /dev/null
+++ b/src/http/tests/broken_answer_test.cc
@@ -0,0 +1,40 @@
+// Calls targets in trouble. Guards against bytes that are no whole answer and are returned as one,
+// and against calls that keep whatever they are sent.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "http/tests/client_calls.h"
+#include "http1/tests/malformed_names.h"
+
+namespace mangonotch::http {
+namespace {
+
+/// Checks that the client takes `bytes` for no answer and says why.
+void CheckFailure(const std::string& bytes, Failure failure, const ExecuteOptions& options = {}) {
+  CAPTURE(bytes.substr(0, 200));
+  const auto outcome = Answered(bytes, Get(), options);
+  REQUIRE(outcome.failure);
+  CHECK(Name(*outcome.failure) == Name(failure));
+  CHECK(outcome.bytes_written);
+}
+
+}  // namespace
+
+// Guards against a target in trouble whose head has a line that is none: the caller got that line,
+// or a body that was not the target's.
+TEST_CASE("An answer with a blank or a control byte in the name of a field is none") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string after = "Content-Length: 2\r\n\r\nok";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  for (const std::string& name : http1::MalformedNames()) {
+    const std::string line = name + ": 2\r\n";
+    CheckFailure(ok + line + after, Failure::kMalformed);
+    CheckFailure(ok + "A: b\r\n" + line + after, Failure::kMalformed);
+    CheckFailure(interim + line + "\r\n" + ok + after, Failure::kMalformed);
+    CheckFailure(chunked + line + "\r\n", Failure::kMalformed);
+  }
+}
+
+}  // namespace mangonotch::http
--- a/src/http1/client_connection.h
+++ b/src/http1/client_connection.h
@@ -98,8 +98,9 @@
   /// A read has completed while no exchange is in progress.
   void OnIdleRead();
   void ParseBuffered();
-  /// Checks the head when the parser has taken the last of it; false if it cannot be used.
-  bool AcceptHead();
+  /// Checks the lines of the head that the parser has taken from the buffer, and the whole head
+  /// when they are its last; false if it cannot be used.
+  bool AcceptHead(std::string_view lines);
   void ResetParser();
   /// Reserves the part of the body that has been received; false if the budget has no room.
   bool ReserveBody();
--- a/src/http1/internal/beast_convert.cc
+++ b/src/http1/internal/beast_convert.cc
@@ -56,6 +56,11 @@
   return encodings == 1 && EqualsIgnoringCase(coding, "chunked");
 }
 
+bool HasFoldedLine(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 unsigned StatusOfParseError(const boost::system::error_code& ec) {
   if (ec == http::error::header_limit) return 431;
   if (ec == http::error::body_limit) return 413;
--- a/src/http1/internal/beast_convert.h
+++ b/src/http1/internal/beast_convert.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
+#include <string_view>
 
 #include "http1/message.h"
 
@@ -20,6 +21,9 @@
 /// False for a response in another transfer coding than chunked: its body would be passed on coded,
 /// without the header that says so.
 bool HasUnambiguousFraming(const BeastResponse& message);
+/// Whether the bytes of a head hold a line that begins with a blank. Beast takes it for the rest of
+/// the line before (obsolete line folding); a proxy may reject it (RFC 9112, section 5.2).
+bool HasFoldedLine(std::string_view head);
 /// HTTP status of the response to a request that the parser rejects.
 unsigned StatusOfParseError(const boost::system::error_code& ec);
 
--- a/src/http1/internal/client_connection.cc
+++ b/src/http1/internal/client_connection.cc
@@ -183,10 +183,13 @@
   while (is_busy_ && !is_closed_ && buffer_.size() > 0) {
     boost::system::error_code ec;
     const bool is_in_head = !parser_->is_header_done();
-    const std::size_t used = parser_->put(buffer_.data(), ec);
-    buffer_.consume(used);
+    const auto bytes = buffer_.data();
+    const std::size_t used = parser_->put(bytes, ec);
+    const std::string_view taken(static_cast<const char*>(bytes.data()), used);
     const bool is_malformed = ec && ec != boost::beast::http::error::need_more;
-    if (is_malformed || (is_in_head && !AcceptHead())) {
+    const bool is_accepted = !is_malformed && (!is_in_head || AcceptHead(taken));
+    buffer_.consume(used);
+    if (!is_accepted) {
       Finish(ExchangeError::kBroken, "malformed answer", {});
       return;
     }
@@ -209,7 +212,8 @@
   Read();
 }
 
-bool ClientConnection::AcceptHead() {
+bool ClientConnection::AcceptHead(std::string_view lines) {
+  if (HasFoldedLine(lines)) return false;
   if (!parser_->is_header_done()) return true;
   // Only now: an eager parser goes on to the body, for which it allocates the announced length,
   // although it has found that length to be over the limit.
--- a/src/http1/tests/broken_response_test.cc
+++ b/src/http1/tests/broken_response_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "http1/tests/client_fixture.h"
+#include "http1/tests/malformed_names.h"
 
 namespace mangonotch::http1 {
 namespace {
@@ -138,6 +139,26 @@
   CHECK(fixture.result->error == ExchangeError::kNone);
 }
 
+// Guards against a server in trouble whose head has a line that is none: the caller got that line,
+// or a body that was not the server's.
+TEST_CASE("A response with a blank or a control byte in the name of a field is none") {
+  const std::string after = "Content-Length: 2\r\n\r\nok";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  for (const std::string& name : MalformedNames()) {
+    const std::string line = name + ": 2\r\n";
+    for (const std::string& bytes :
+         {"HTTP/1.1 200 OK\r\n" + line + after, "HTTP/1.1 200 OK\r\nA: b\r\n" + line + after,
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + line + "\r\nok",
+          "HTTP/1.1 204 No Content\r\n" + line + "\r\n",
+          interim + line + "\r\nHTTP/1.1 200 OK\r\n" + after, chunked + line + "\r\n"}) {
+      CAPTURE(bytes);
+      CheckIsBroken(bytes);
+    }
+  }
+}
+
 // Guards against a body that callers got in a coding that the head they got did not name.
 TEST_CASE("A response in a transfer coding other than chunked is none") {
   for (const char* const codings :
