The blocking client takes a status outside 100 to 599 for no answer

Callers saw (MIXED, by the report): an answer with the status 000. Through http::Client, which carries requests of mangonotch serve, health checks, the host list and the key-value store, it was returned as an answer: callers of mangonotch serve got it, and PollHealth took it for a sign of life.

Cause: AnswerReader looked at no status but 1xx; Beast accepts any three digits.

Fix: TakeHeader rejects it as malformed, so that the connection is not kept and the request may have run.

Evidence: the new case failed on the code before at the first status, 000; it passes now.

--- a/src/http/internal/answer_reader.cc
+++ b/src/http/internal/answer_reader.cc
@@ -13,6 +13,9 @@
 namespace beast_http = boost::beast::http;
 using Parser = beast_http::response_parser<beast_http::string_body>;
 
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
+
 std::string_view View(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 /// Whether a line of a head begins with a blank. Beast takes it for the rest of the line before
@@ -81,6 +84,9 @@
   /// cannot replace them.
   void TakeHeader() {
     const auto& message = parser_->get();
+    if (message.result_int() < kMinStatus || message.result_int() > kMaxStatus) {
+      Fail(Failure::kMalformed, "status that does not exist");
+    }
     if (message.result_int() / 100 == 1) {
       if (message.result_int() == 101) {
         Fail(Failure::kMalformed, "switches the protocol unasked");
--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -37,4 +37,14 @@
   }
 }
 
+// Guards against a target's status 000 that callers got as an answer, and that a health check took
+// for a target in good health.
+TEST_CASE("A status outside 100 to 599 is no answer") {
+  for (const std::string status : {"000", "001", "099", "600", "999"}) {
+    CheckFailure("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok", Failure::kMalformed);
+    CheckFailure("HTTP/1.1 " + status + " Odd\r\n\r\n", Failure::kMalformed);
+  }
+  CHECK(Answered("HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok").response.status == 599);
+}
+
 }  // namespace mangonotch::http
