The blocking client cuts off chunk extensions and trailers without end

Through http::Client a head and a body had limits, but an unfinished chunk extension or trailer section was kept until the deadline of the call, at the speed of the connection.

Cause: Beast sets no limit on what it cannot use yet and asks for more; AnswerReader appended and asked on. The event-driven client has had a limit.

Fix: more than max_header_bytes of unused bytes end the call as too large.

--- a/src/http/client_error.h
+++ b/src/http/client_error.h
@@ -18,7 +18,7 @@
   kCutOff,            // The connection ended before the answer was whole.
   kStaleConnection,   // A kept-alive connection ended without a byte of an answer: the target may
                       // have read it.
-  kTooLarge,          // Header or body over the limit.
+  kTooLarge,          // Header, trailers, a chunk extension or the body over the limit.
   kUnprovableLength,  // The answer ends with the connection, so a cut one looks whole.
   kMalformed,
   kCancelled,
--- a/src/http/internal/answer_reader.cc
+++ b/src/http/internal/answer_reader.cc
@@ -47,6 +47,7 @@
       }
       pending_.erase(0, n);
       if (ec == beast_http::error::need_more) {
+        CheckPending();
         return false;
       }
       Check(ec);
@@ -118,6 +119,14 @@
     }
   }
 
+  /// The parser leaves what it cannot use yet, such as an unfinished chunk extension or trailer,
+  /// and sets no limit on it.
+  void CheckPending() const {
+    if (pending_.size() > options_.max_header_bytes) {
+      Fail(Failure::kTooLarge, "unfinished line, chunk extension or trailers");
+    }
+  }
+
   void Check(const boost::system::error_code& ec) const {
     if (!ec) {
       return;
--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -47,4 +47,26 @@
   CHECK(Answered("HTTP/1.1 599 Odd\r\nContent-Length: 2\r\n\r\nok").response.status == 599);
 }
 
+// Guards against a target that makes a call keep bytes without end, until the process has no memory
+// left.
+TEST_CASE("Bytes without end are cut off, whatever part of an answer they are in") {
+  constexpr std::size_t kSentBytes = std::size_t{4} * 1024 * 1024;
+  const std::string line(1000, 'a');
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> parts = {
+      {"HTTP/1.1 200 ", line},        {ok, "Name: " + line + "\r\n"},
+      {ok + "Name: ", line},          {chunked, "3e8\r\n" + line + "\r\n"},
+      {chunked + "1;", line},         {chunked + "1;name=", line},
+      {chunked + "0;", line},         {chunked + "0\r\n", "Name: " + line + "\r\n"},
+      {chunked + "0\r\nName: ", line}};
+  ExecuteOptions options;
+  options.max_body_bytes = kSentBytes / 4;
+  for (const auto& [start, repeated] : parts) {
+    std::string bytes = start;
+    while (bytes.size() < kSentBytes) bytes += repeated;
+    CheckFailure(bytes, Failure::kTooLarge, options);
+  }
+}
+
 }  // namespace mangonotch::http
