--- a/src/http/tests/broken_answer_test.cc
+++ b/src/http/tests/broken_answer_test.cc
@@ -69,4 +69,33 @@
   }
 }
 
+// Guards against a target that answers a long upload at once, without a length, and resets the
+// connection: what arrived is no whole answer.
+TEST_CASE("An early answer that is reset during the upload is none") {
+  const std::string upload(std::size_t{16} * 1024 * 1024, 'u');
+  for (const std::string framing :
+       {"", "Connection: close\r\n", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    CAPTURE(framing);
+    RawTarget target([&](RawConnection& connection, int) {
+      connection.ReadUntil("\r\n\r\n");
+      connection.Write("HTTP/1.1 200 OK\r\n" + framing + "\r\n4\r\npart");
+      connection.Reset();
+    });
+    Client client;
+    const auto outcome = Call(client, target.port(), {"PUT", "/a", {}, upload});
+    CHECK(outcome.failure == Failure::kWrite);
+    CHECK(outcome.bytes_written);
+  }
+}
+
+// Guards against a length that makes the call allocate more than there is.
+TEST_CASE("An answer that announces more than the limit is refused, whatever follows") {
+  for (const std::string length : {"1048577", "99999999999", "1000000000000"}) {
+    for (const std::string& body : {std::string(), std::string("a"), std::string(2000, 'a')}) {
+      CheckFailure("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + body,
+                   Failure::kTooLarge);
+    }
+  }
+}
+
 }  // namespace mangonotch::http
