--- a/tests/edge_tests/edge_deployment.cc
+++ b/tests/edge_tests/edge_deployment.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "http1/message.h"
+#include "http1/tests/loopback.h"
 #include "tests/support/edge_settings.h"
 
 namespace mangonotch::edge_tests {
@@ -68,6 +70,19 @@
   host.process = std::make_unique<support::Process>(argv, host.log_path);
 }
 
+std::string EdgeDeployment::ReceivedByCaller(std::size_t i, const std::string& request_id,
+                                             Duration limit) {
+  http1::LoopbackSocket caller(boost::asio::ip::tcp::endpoint(
+      boost::asio::ip::make_address(hosts_[i].ip), support::kEdgeCallerPort));
+  caller.Send(http1::Serialize(platform::testing::MakeCallerRequest(
+      "GET", kCallerHost, "/look/1", request_id, "1", Duration::Seconds(4))));
+  RunUntil(limit, [&] {
+    return caller.Received().find("whole answer to " + request_id) != std::string::npos ||
+           caller.IsClosed();
+  });
+  return caller.Received();
+}
+
 void EdgeDeployment::Restart(std::size_t i) {
   EdgeProcess& host = hosts_[i];
   host.process->Kill();
--- a/tests/edge_tests/edge_deployment.h
+++ b/tests/edge_tests/edge_deployment.h
@@ -57,6 +57,10 @@
   /// Runs until all hosts know the workers; false when they do not in time.
   bool RunUntilReady();
 
+  /// What a caller within the limits receives from host `i` for an idempotent request with the id
+  /// `request_id`, until its answer is complete, its connection is closed or `limit` has passed.
+  std::string ReceivedByCaller(std::size_t i, const std::string& request_id, base::Duration limit);
+
   /// Kills the host's process and starts another one in its place, which adds to the same log.
   void Restart(std::size_t i);
 
--- a/tests/edge_tests/memory_bounds_test.cc
+++ b/tests/edge_tests/memory_bounds_test.cc
@@ -46,17 +46,10 @@
 
 /// A caller within the limits gets its answer.
 void CheckOrdinaryCaller(EdgeDeployment& deployment, const std::string& id) {
-  http1::LoopbackSocket caller(boost::asio::ip::tcp::endpoint(
-      boost::asio::ip::make_address(deployment.host(0).ip), support::kEdgeCallerPort));
-  caller.Send(http1::Serialize(platform::testing::MakeCallerRequest(
-      "GET", kCallerHost, "/look/1", id, "1", Duration::Seconds(4))));
-  const bool is_answered = deployment.RunUntil(kAnswerTime, [&] {
-    return caller.Received().find("whole answer to " + id) != std::string::npos ||
-           caller.IsClosed();
-  });
-  INFO(caller.Received());
-  REQUIRE(is_answered);
-  REQUIRE(caller.Received().starts_with("HTTP/1.1 200"));
+  const std::string received = deployment.ReceivedByCaller(0, id, kAnswerTime);
+  INFO(received);
+  REQUIRE(received.starts_with("HTTP/1.1 200"));
+  REQUIRE(received.find("whole answer to " + id) != std::string::npos);
 }
 
 void CheckUsage(EdgeDeployment& deployment) {
