--- a/tests/edge_tests/broken_answer_test.cc
+++ b/tests/edge_tests/broken_answer_test.cc
@@ -25,7 +25,7 @@
 /// Time in which the host learns of changed entries, and the workers' sockets fill.
 constexpr Duration kSettleTime = Duration::Milliseconds(1500);
 
-const char* const kSuccess =
+constexpr const char* kSuccess =
     "HTTP/1.1 200 OK\r\nX-Attempt-Id: upload\r\nX-Response-Signature: s\r\n";
 
 std::string Upload() {
