Log which report of a target is read, by the target's own order

The hosts' logs could not say why: they name the number of draining targets and the store's revision, but neither which report changed that number nor when the target had made it.

`target_reported` now names the start of the incarnation and the number of the report.

A report that the target made before others is carried out after them, and takes effect. This rules out a follower that was behind, a removal that was undone and a second writer, for which the start or the order would differ.

The records of targets carry that position (catalog::ReportPosition) from here on; nothing decides by it yet. An entry whose `sequence` is of another type is refused as a whole, like one with a malformed `born`.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -14,6 +14,7 @@
 #include "base/duration.h"
 #include "base/endpoint.h"
 #include "base/instant.h"
+#include "catalog/report_position.h"
 
 namespace mangonotch::catalog {
 
@@ -106,7 +107,7 @@
   bool operator==(const Configuration&) const = default;
 };
 
-/// One incarnation of a target.
+/// One incarnation of a target, as its last known report describes it.
 struct Target {
   /// Unique among all targets; a restarted target may keep it.
   std::string id;
@@ -118,8 +119,8 @@
   bool is_draining = false;
   /// End of the cold period, by the clock of the process that holds the record.
   base::Instant cold_until;
-  /// Start of the incarnation in milliseconds of Unix time; 0 when unknown.
-  std::int64_t started_at_ms = 0;
+  /// Of the report that this record comes from.
+  ReportPosition report;
 
   bool operator==(const Target&) const = default;
 };
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -37,8 +37,7 @@
 
 bool Registry::HasDrainedBefore(const Entry& entry, const catalog::Target& target,
                                 StoreRevision revision) {
-  const bool is_same_incarnation =
-      target.started_at_ms != 0 && entry.target.started_at_ms == target.started_at_ms;
+  const bool is_same_incarnation = catalog::IsSameIncarnation(entry.target.report, target.report);
   const bool is_restored = IsNewEra(entry.revision, revision) && entry.target.is_draining;
   return is_same_incarnation && (is_restored || entry.has_drained_before_restore);
 }
@@ -50,11 +49,13 @@
   if (!is_new && revision <= entry.revision) return;
   catalog::Target next = target;
   // Reports of the same incarnation may round the cold time differently; the longer one is used.
-  if (!is_new && entry.target.started_at_ms == target.started_at_ms) {
+  if (!is_new && entry.target.report.started_at_ms == target.report.started_at_ms) {
     next.cold_until = std::max(next.cold_until, entry.target.cold_until);
   }
   entry.has_drained_before_restore = !is_new && HasDrainedBefore(entry, target, revision);
   next.is_draining = next.is_draining || entry.has_drained_before_restore;
+  // A report that says nothing but its own number changes nothing.
+  entry.target.report.sequence = next.report.sequence;
   // Read in a new era, it is sent on in any case: a follower may have dropped the older record.
   const bool has_changed = is_new || IsNewEra(entry.revision, revision) || !(entry.target == next);
   if (has_changed) entry.sequence = ++sequence_;
--- a/src/discovery/tests/restored_store_test.cc
+++ b/src/discovery/tests/restored_store_test.cc
@@ -24,7 +24,7 @@
   target.service = "status";
   target.zone = "a1";
   target.is_draining = is_draining;
-  target.started_at_ms = started_at_ms;
+  target.report.started_at_ms = started_at_ms;
   return target;
 }
 
--- a/src/peering/internal/codec.cc
+++ b/src/peering/internal/codec.cc
@@ -275,7 +275,7 @@
   void serialize(Archive& archive) {
     catalog::Target& target = change.target;
     archive(target.id, target.service, target.address, target.zone, target.slots,
-            target.is_draining, target.started_at_ms, change.revision, cold_remaining);
+            target.is_draining, target.report.started_at_ms, change.revision, cold_remaining);
   }
 };
 
--- a/src/steering/internal/target_state.cc
+++ b/src/steering/internal/target_state.cc
@@ -30,8 +30,8 @@
       recent_sends_(kSendWindow) {}
 
 void TargetState::Update(const catalog::Target& record, std::string_view region) {
-  const bool is_other_incarnation =
-      record.started_at_ms != record_.started_at_ms || !(record.address == record_.address);
+  const bool is_other_incarnation = record.report.started_at_ms != record_.report.started_at_ms ||
+                                    !(record.address == record_.address);
   record_ = record;
   region_ = region;
   is_listed_ = true;
--- a/src/steering/tests/engine_test.cc
+++ b/src/steering/tests/engine_test.cc
@@ -239,7 +239,7 @@
   EngineHarness host({MakeTarget("t1")});
   for (int i = 0; i < 5; ++i) host.Outcome(host.Request("/look/1", i), AttemptResult::kLost, i);
   catalog::Target restarted = MakeTarget("t1");
-  restarted.started_at_ms = 7;
+  restarted.report.started_at_ms = 7;
   host.Apply({restarted, MakeTarget("t2")}, 10);
   std::set<std::string> used;
   for (int i = 0; i < 4; ++i) {
--- a/src/steering/tests/target_limit_test.cc
+++ b/src/steering/tests/target_limit_test.cc
@@ -275,7 +275,7 @@
   host.Request("/look/3", 50);
   REQUIRE(host.port.sent.size() == 2);
   catalog::Target restarted = MakeTarget("t1");
-  restarted.started_at_ms = 1;
+  restarted.report.started_at_ms = 1;
   host.Apply({restarted}, 60);
   host.Request("/look/4", 70);
   REQUIRE(host.port.sent.size() == 3);
--- a/src/steering/tests/target_signals_test.cc
+++ b/src/steering/tests/target_signals_test.cc
@@ -25,7 +25,7 @@
 
 catalog::Target MakeIncarnation(const std::string& id, std::int64_t started_at_ms) {
   catalog::Target target = MakeTarget(id);
-  target.started_at_ms = started_at_ms;
+  target.report.started_at_ms = started_at_ms;
   return target;
 }
 
--- a/tests/edge_tests/broken_answer_test.cc
+++ b/tests/edge_tests/broken_answer_test.cc
@@ -59,7 +59,7 @@
   }
 
   void AnnounceWorker(std::uint16_t port) {
-    const platform::testing::StandInWorker& stand_in = deployment.worker(0);
+    platform::testing::StandInWorker& stand_in = deployment.worker(0);
     deployment.store().Put(stand_in.EntryKey(),
                            stand_in.Entry("127.0.0.1:" + std::to_string(port), false));
     deployment.RunFor(kSettleTime);
--- a/tests/edge_tests/edge_deployment.cc
+++ b/tests/edge_tests/edge_deployment.cc
@@ -36,7 +36,7 @@
         platform::testing::WorkerOptions{
             .id = id, .service = kService, .zone = "north-a", .work_time = work_time},
         runs_));
-    const StandInWorker& worker = *workers_.back();
+    StandInWorker& worker = *workers_.back();
     store_.Put(worker.EntryKey(),
                worker.Entry("127.0.0.1:" + std::to_string(worker.port()), false));
   }
--- a/tests/edge_tests/restored_store_test.cc
+++ b/tests/edge_tests/restored_store_test.cc
@@ -23,7 +23,7 @@
 }
 
 void PutWorker(EdgeDeployment& deployment, std::size_t i, bool is_draining) {
-  const platform::testing::StandInWorker& worker = deployment.worker(i);
+  platform::testing::StandInWorker& worker = deployment.worker(i);
   deployment.store().Put(worker.EntryKey(),
                          worker.Entry("127.0.0.1:" + std::to_string(worker.port()), is_draining));
 }
