A report that the store carries out late no longer undoes a later one (DRAIN)

Cause: the registry of src/discovery took the store's revision for the order of a target's reports. A call without an answer may be carried out seconds later; it then has the highest revision, though the target made it before others.

Fix: the target's own order decides (start of the incarnation, then number); an older report changes nothing, whatever its revision, and only shows that the target is listed. A target that drains does so until the end of its incarnation, which takes the place of the rule for a restored store alone (has_drained_before_restore). Where a report has no start or no number, its order is not known and the revision decides as before.

--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -35,31 +35,40 @@
   ApplyTarget(target, revision);
 }
 
-bool Registry::HasDrainedBefore(const Entry& entry, const catalog::Target& target,
-                                StoreRevision revision) {
-  const bool is_same_incarnation = catalog::IsSameIncarnation(entry.target.report, target.report);
-  const bool is_restored = IsNewEra(entry.revision, revision) && entry.target.is_draining;
-  return is_same_incarnation && (is_restored || entry.has_drained_before_restore);
+bool Registry::IsNews(const Entry& entry, const catalog::Target& target, StoreRevision revision) {
+  const std::partial_ordering order = catalog::Compare(target.report, entry.target.report);
+  if (order == std::partial_ordering::less) return false;
+  return order == std::partial_ordering::greater || revision > entry.revision;
 }
 
 void Registry::ApplyTarget(const catalog::Target& target, StoreRevision revision) {
   if (LastRemovalRevision(target.id) >= revision || left_targets_.HasLeft(target, revision)) return;
   const auto [it, is_new] = targets_.try_emplace(target.id);
-  Entry& entry = it->second;
-  if (!is_new && revision <= entry.revision) return;
+  if (is_new || IsNews(it->second, target, revision)) UpdateTarget(it->second, target);
+  ConfirmListed(it->second, revision);
+}
+
+void Registry::UpdateTarget(Entry& entry, const catalog::Target& target) {
   catalog::Target next = target;
   // Reports of the same incarnation may round the cold time differently; the longer one is used.
-  if (!is_new && entry.target.report.started_at_ms == target.report.started_at_ms) {
+  if (entry.target.report.started_at_ms == target.report.started_at_ms) {
     next.cold_until = std::max(next.cold_until, entry.target.cold_until);
   }
-  entry.has_drained_before_restore = !is_new && HasDrainedBefore(entry, target, revision);
-  next.is_draining = next.is_draining || entry.has_drained_before_restore;
+  if (catalog::IsSameIncarnation(entry.target.report, target.report)) {
+    next.is_draining = next.is_draining || entry.target.is_draining;
+  }
   // A report that says nothing but its own number changes nothing.
   entry.target.report.sequence = next.report.sequence;
-  // Read in a new era, it is sent on in any case: a follower may have dropped the older record.
-  const bool has_changed = is_new || IsNewEra(entry.revision, revision) || !(entry.target == next);
-  if (has_changed) entry.sequence = ++sequence_;
+  if (entry.target == next) return;
+  entry.sequence = ++sequence_;
   entry.target = std::move(next);
+}
+
+void Registry::ConfirmListed(Entry& entry, StoreRevision revision) {
+  // Another host may name a newer report at a lower revision.
+  if (revision <= entry.revision) return;
+  // Read in a new era, it is sent on in any case: a follower may have dropped the older record.
+  if (IsNewEra(entry.revision, revision)) entry.sequence = ++sequence_;
   entry.revision = revision;
   entry.keep_until = base::Instant::Never();
 }
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -61,11 +61,12 @@
  public:
   explicit Registry(const OutageTiming& timing) : outage_(timing) {}
 
-  // Call these in the order of the revisions. A target change that is not newer than the known one,
-  // a configuration without a higher version and an evacuation older than the applied operator
-  // records are ignored. A revision of a newer era means that the store has been restored from an
-  // older copy. What the copy lacks is then kept for the recovery time, and targets that drained
-  // or left in the era before do not come back into use.
+  // Call these in the order of the revisions. A report of a target that the target made before the
+  // known one, a configuration without a higher version and an evacuation older than the applied
+  // operator records are ignored. A target that drains does so until the end of its incarnation.
+  // A revision of a newer era means that the store has been restored from an older copy. What the
+  // copy lacks is then kept for the recovery time, and targets that left in the era before do not
+  // come back into use.
 
   void PutTarget(const catalog::Target& target, StoreRevision revision);
   /// A target that is removed during the recovery from a store outage without having been draining
@@ -137,15 +138,13 @@
  private:
   struct Entry {
     catalog::Target target;
+    /// The highest at which the target was read or removed.
     StoreRevision revision = 0;
     /// Sequence number of the last change of this entry.
     std::uint64_t sequence = 0;
     /// Set for an entry that the store has removed and that is kept until the end of the recovery
     /// from an outage.
     base::Instant keep_until = base::Instant::Never();
-    /// The target was draining in an earlier era. The record of the older copy must not undo it, so
-    /// that it drains until another incarnation is listed.
-    bool has_drained_before_restore = false;
   };
 
   using Entries = std::map<std::string, Entry, std::less<>>;
@@ -154,9 +153,13 @@
   /// newer era.
   void ObserveTargetsEra(StoreRevision revision, base::Instant now);
   void ApplyTarget(const catalog::Target& target, StoreRevision revision);
-  /// Whether the target, whose record at `revision` is `target`, was draining before a restore.
-  static bool HasDrainedBefore(const Entry& entry, const catalog::Target& target,
-                               StoreRevision revision);
+  /// Whether `target`, read at `revision`, says more of the target than `entry`. The target's own
+  /// order of its reports decides, and the revision only where that order is not known.
+  static bool IsNews(const Entry& entry, const catalog::Target& target, StoreRevision revision);
+  /// Takes over what `target` says.
+  void UpdateTarget(Entry& entry, const catalog::Target& target);
+  /// The store lists the target at `revision`, with whatever report.
+  void ConfirmListed(Entry& entry, StoreRevision revision);
   void ApplyConfiguration(std::shared_ptr<const catalog::Configuration> configuration);
 
   /// Revision of the target's latest recorded removal, 0 if there is none. Older records of the
--- /dev/null
+++ b/tests/edge_tests/late_report_test.cc
@@ -0,0 +1,48 @@
+// The store carries out a target's report after later ones of that target, while two hosts run.
+// Guards against requests to a target that is about to end: the late report made it ready again.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/edge_tests/edge_deployment.h"
+
+namespace mangonotch::edge_tests {
+namespace {
+
+using base::Duration;
+
+constexpr Duration kMaxTime = Duration::Seconds(20);
+
+std::string NextReport(EdgeDeployment& deployment, std::size_t i, bool is_draining) {
+  platform::testing::StandInWorker& worker = deployment.worker(i);
+  return worker.Entry("127.0.0.1:" + std::to_string(worker.port()), is_draining);
+}
+
+/// Waits until both hosts have logged `text`.
+bool RunUntilLogged(EdgeDeployment& deployment, const std::string& text) {
+  return deployment.RunUntil(kMaxTime, [&] {
+    return deployment.host(0).HasLogged(text) && deployment.host(1).HasLogged(text);
+  });
+}
+
+}  // namespace
+
+TEST_CASE("A report that is carried out late does not send requests to a draining target") {
+  EdgeDeployment deployment("late-report", 2, Duration::Milliseconds(20));
+  REQUIRE(deployment.RunUntilReady());
+  platform::testing::StandInStore& store = deployment.store();
+  const std::string key = deployment.worker(0).EntryKey();
+  const std::string late = NextReport(deployment, 0, false);
+  store.Put(key, NextReport(deployment, 0, true));
+  REQUIRE(RunUntilLogged(deployment, "targets=2 draining=1"));
+  store.Put(key, late);
+  store.Put(deployment.worker(1).EntryKey(), NextReport(deployment, 1, true));
+  REQUIRE(RunUntilLogged(deployment, "targets=2 draining=2"));
+  for (std::size_t i = 0; i < 2; ++i) {
+    const std::string log = deployment.host(i).process->Output();
+    const std::string since = log.substr(log.find("draining=1"));
+    INFO(log);
+    CHECK(since.find("draining=0") == std::string::npos);
+  }
+}
+
+}  // namespace mangonotch::edge_tests
