A report that is carried out after a target's removal does not bring it back (DRAIN)

A report carried out after the removal entered the target again, also one that had drained in the same era, and an older copy of the store entered again those that had left without draining (LeftTargets kept draining ones only, and for a new era only).

discovery::RemovedTargets takes the place of LeftTargets: for each removed target the position of its last report and whether it drained, for 40 heartbeats of the targets and for at most 4096 targets. - A newer report, or one of another incarnation, is used at once: an entry may lapse and come back. - An incarnation that drained does not come back. - An older or equal report is set aside. The store says nothing when a target renews an entry in which nothing else changes, so that a live target may be listed with nothing newer (after a restore, for one). An entry that nobody renews expires after three heartbeats; what is still listed when the removal is forgotten is used then. While the store is lost nothing is forgotten, and an outage starts the time anew, since leases may have paused in it.

CatalogChanges moved into a header of its own.

Not decided by this: a late report with a number above the last one that the host has read. The store reports numbers only with other changes, so that it looks like a return after a lapse.

--- a/src/app/internal/edge_parameters.cc
+++ b/src/app/internal/edge_parameters.cc
@@ -17,6 +17,9 @@
 /// An entry expires after three intervals without a renewal, and the last renewal before an outage
 /// was up to one interval old.
 constexpr std::int64_t kMinOutageIntervals = 2;
+/// An entry expires after three intervals; the store carries out a call within seconds, so that the
+/// others have a wide margin.
+constexpr std::int64_t kRemovalMemoryIntervals = 40;
 /// Divisor that gives the share of file descriptors for caller connections; the rest is for
 /// targets, the store and files.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
@@ -38,7 +41,8 @@
 
 discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds) {
   return {.min_outage = bounds.target_heartbeat * kMinOutageIntervals,
-          .recovery_time = kRecoveryTime};
+          .recovery_time = kRecoveryTime,
+          .removal_memory_time = bounds.target_heartbeat * kRemovalMemoryIntervals};
 }
 
 steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds) {
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -42,7 +42,7 @@
 }
 
 void Registry::ApplyTarget(const catalog::Target& target, StoreRevision revision) {
-  if (LastRemovalRevision(target.id) >= revision || left_targets_.HasLeft(target, revision)) return;
+  if (LastRemovalRevision(target.id) >= revision || !removed_.Admit(target, revision)) return;
   const auto [it, is_new] = targets_.try_emplace(target.id);
   if (is_new || IsNews(it->second, target, revision)) UpdateTarget(it->second, target);
   ConfirmListed(it->second, revision);
@@ -81,9 +81,15 @@
   return revision;
 }
 
-Registry::Entries::iterator Registry::Erase(Entries::iterator it, StoreRevision revision) {
-  if (it->second.target.is_draining) left_targets_.Add(it->second.target, revision);
-  removals_.emplace_back(++sequence_, TargetRemoval{.id = it->first, .revision = revision});
+Registry::Entries::iterator Registry::Erase(Entries::iterator it, StoreRevision revision,
+                                            base::Instant now) {
+  const catalog::Target& target = it->second.target;
+  const TargetRemoval removal{.id = it->first,
+                              .revision = revision,
+                              .last_report = target.report,
+                              .was_draining = target.is_draining};
+  removed_.Add(removal, now);
+  removals_.emplace_back(++sequence_, removal);
   if (removals_.size() > kMaxRemovals) {
     compacted_sequence_ = removals_.front().first;
     removals_.pop_front();
@@ -93,6 +99,7 @@
 
 void Registry::RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now) {
   AdvanceNewest({.targets = revision});
+  removed_.OnMissing(id, revision);
   const auto it = targets_.find(id);
   if (it == targets_.end() || revision <= it->second.revision) return;
   if (const auto keep_until = KeepUntil(it->second, now)) {
@@ -100,7 +107,14 @@
     it->second.keep_until = *keep_until;
     return;
   }
-  Erase(it, revision);
+  Erase(it, revision, now);
+}
+
+void Registry::OnStoreRegained(base::Instant lost_at, base::Instant now) {
+  is_store_lost_ = false;
+  // The store may have kept entries of its own as they were.
+  if (outage_.IsOutage(lost_at, now)) removed_.Renew(now);
+  outage_.OnRegained(lost_at, now);
 }
 
 std::optional<base::Instant> Registry::KeepUntil(const Entry& entry, base::Instant now) const {
@@ -206,9 +220,10 @@
       entry.keep_until = *keep_until;
       ++it;
     } else {
-      it = Erase(it, revision);
+      it = Erase(it, revision, now);
     }
   }
+  removed_.OnListing([&](std::string_view id) { return listed.contains(id); }, revision);
   AdvanceTargets(revision);
 }
 
@@ -255,6 +270,7 @@
 }
 
 void Registry::Merge(const CatalogChanges& changes, base::Instant now) {
+  is_store_lost_ = false;
   if (changes.configuration && changes.operator_revision > operator_revision_) {
     ReplaceOperatorRecords(changes.configuration, changes.evacuated_zones,
                            changes.operator_revision, now);
@@ -278,12 +294,15 @@
     ApplyTarget(it.target, it.revision);
   }
   for (const TargetRemoval& it : changes.removals) {
+    removed_.OnMissing(it.id, it.revision);
     const auto entry = targets_.find(it.id);
     if (entry != targets_.end() && entry->second.revision <= it.revision) {
-      Erase(entry, it.revision);
+      Erase(entry, it.revision, now);
     }
   }
   if (changes.is_full) {
+    const auto is_listed = [&](std::string_view id) { return listed.contains(id); };
+    removed_.OnListing(is_listed, changes.targets_revision);
     for (auto it = targets_.begin(); it != targets_.end();) {
       Entry& entry = it->second;
       if (listed.contains(it->first) || entry.revision > changes.targets_revision) {
@@ -293,18 +312,18 @@
       const auto keep_until =
           IsNewEra(entry.revision, changes.targets_revision) ? KeepUntil(entry, now) : std::nullopt;
       if (keep_until) entry.keep_until = *keep_until;
-      it = keep_until ? std::next(it) : Erase(it, changes.targets_revision);
+      it = keep_until ? std::next(it) : Erase(it, changes.targets_revision, now);
     }
   }
   AdvanceTargets(changes.targets_revision);
 }
 
 base::Instant Registry::Expire(base::Instant now) {
-  base::Instant next = ExpireEvacuations(now);
+  base::Instant next = std::min(ExpireEvacuations(now), ExpireRemovals(now));
   for (auto it = targets_.begin(); it != targets_.end();) {
     if (it->second.keep_until <= now) {
       // Not the entry's own revision: other hosts may know a later record of the target.
-      it = Erase(it, std::max(it->second.revision, targets_revision_));
+      it = Erase(it, std::max(it->second.revision, targets_revision_), now);
       continue;
     }
     next = std::min(next, it->second.keep_until);
@@ -313,6 +332,12 @@
   return next;
 }
 
+base::Instant Registry::ExpireRemovals(base::Instant now) {
+  if (is_store_lost_) return base::Instant::Never();
+  for (const TargetChange& it : removed_.TakeExpired(now)) ApplyTarget(it.target, it.revision);
+  return removed_.NextExpiry();
+}
+
 base::Instant Registry::ExpireEvacuations(base::Instant now) {
   base::Instant next = base::Instant::Never();
   std::vector<std::string> expired;
--- a/src/discovery/internal/store_outage.cc
+++ b/src/discovery/internal/store_outage.cc
@@ -7,7 +7,7 @@
 
 void StoreOutage::OnRegained(base::Instant lost_at, base::Instant now) {
   // A short interruption does not end the recovery from an outage before it.
-  if (now - lost_at < timing_.min_outage) return;
+  if (!IsOutage(lost_at, now)) return;
   last_ = {.lost_at = lost_at, .regained_at = now, .served_since = now};
 }
 
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -18,64 +18,33 @@
 #include "base/instant.h"
 #include "catalog/catalog.h"
 #include "catalog/store_position.h"
-#include "discovery/left_targets.h"
+#include "discovery/catalog_changes.h"
+#include "discovery/removed_targets.h"
 #include "discovery/store_outage.h"
 
 namespace mangonotch::discovery {
 
-using catalog::StorePosition;
-using catalog::StoreRevision;
-
-struct TargetChange {
-  catalog::Target target;
-  StoreRevision revision = 0;
-};
-
-struct TargetRemoval {
-  std::string id;
-  StoreRevision revision = 0;
-};
-
-/// Catalog changes that a host sends to hosts that do not watch the store.
-struct CatalogChanges {
-  /// Sequence number of the sender's catalog with these changes applied.
-  std::uint64_t sequence = 0;
-  /// `targets` lists all targets of the sender; targets missing from it were removed at or before
-  /// `targets_revision`.
-  bool is_full = false;
-  StoreRevision targets_revision = 0;
-  std::vector<TargetChange> targets{};
-  std::vector<TargetRemoval> removals{};
-  /// Revision of the operator records: the configuration and the zone evacuations.
-  StoreRevision operator_revision = 0;
-  /// Null if the sender has no configuration or its operator records have not changed.
-  std::shared_ptr<const catalog::Configuration> configuration{};
-  /// Ignored without a configuration. Without those that are kept in force after a restore: each
-  /// host keeps them itself.
-  std::vector<std::string> evacuated_zones{};
-  /// Newest changes that the sender has applied.
-  StorePosition newest{};
-};
-
 class Registry {
  public:
-  explicit Registry(const OutageTiming& timing) : outage_(timing) {}
+  explicit Registry(const OutageTiming& timing)
+      : outage_(timing), removed_(timing.removal_memory_time) {}
 
   // Call these in the order of the revisions. A report of a target that the target made before the
   // known one, a configuration without a higher version and an evacuation older than the applied
-  // operator records are ignored. A target that drains does so until the end of its incarnation.
-  // A revision of a newer era means that the store has been restored from an older copy. What the
-  // copy lacks is then kept for the recovery time, and targets that left in the era before do not
-  // come back into use.
+  // operator records are ignored. A target that drains does so until the end of its incarnation,
+  // and one that was removed does not come back by what it had reported before. A revision of a
+  // newer era means that the store has been restored from an older copy; what the copy lacks is
+  // then kept for the recovery time.
 
   void PutTarget(const catalog::Target& target, StoreRevision revision);
   /// A target that is removed during the recovery from a store outage without having been draining
   /// is kept until the end of the recovery: its lease may have expired in the outage.
   void RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now);
+  /// The store does not answer this host. Removals are not forgotten until it does, or until
+  /// another host has sent changes.
+  void OnStoreLost() { is_store_lost_ = true; }
   /// Forwards to StoreOutage::OnRegained.
-  void OnStoreRegained(base::Instant lost_at, base::Instant now) {
-    outage_.OnRegained(lost_at, now);
-  }
+  void OnStoreRegained(base::Instant lost_at, base::Instant now);
   void PutConfiguration(std::shared_ptr<const catalog::Configuration> configuration,
                         StoreRevision revision);
   void PutEvacuation(std::string_view zone, bool is_evacuated, StoreRevision revision,
@@ -129,8 +98,9 @@
     return end && now < *end;
   }
 
-  /// Removes entries whose recovery time has expired. Returns the time of the next expiry, Never()
-  /// if there is none.
+  /// Removes entries whose recovery time has expired, and uses reports that were set aside for
+  /// removals which are forgotten now. Returns the time of the next expiry, Never() if there is
+  /// none.
   base::Instant Expire(base::Instant now);
   /// Returns the catalog if it has changed since the last call, null otherwise.
   catalog::CatalogPtr TakeUpdatedCatalog();
@@ -170,10 +140,13 @@
   std::optional<base::Instant> KeepUntil(const Entry& entry, base::Instant now) const;
   void MergeTargets(const CatalogChanges& changes, base::Instant now);
   /// Removes the entry, records the removal and returns the next entry.
-  Entries::iterator Erase(Entries::iterator it, StoreRevision revision);
+  Entries::iterator Erase(Entries::iterator it, StoreRevision revision, base::Instant now);
   void SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now);
   /// Keeps evacuations in force that the copy lacks which the store was restored from.
   void KeepEvacuations(std::span<const std::string> listed, base::Instant now);
+  /// Forgets removals whose time has expired; returns when the next report that was set aside is
+  /// due.
+  base::Instant ExpireRemovals(base::Instant now);
   /// Ends kept evacuations whose time has expired; returns the time of the next expiry.
   base::Instant ExpireEvacuations(base::Instant now);
   base::Duration ColdTimeOf(std::string_view service) const;
@@ -184,7 +157,8 @@
   StorePosition newest_;
   std::shared_ptr<const catalog::Configuration> configuration_;
   Entries targets_;
-  LeftTargets left_targets_;
+  RemovedTargets removed_;
+  bool is_store_lost_ = false;
   std::set<std::string, std::less<>> evacuated_zones_;
   /// Those of `evacuated_zones_` that the restored store lacks, with the end of the recovery.
   std::map<std::string, base::Instant, std::less<>> kept_evacuations_;
--- a/src/discovery/store_outage.h
+++ b/src/discovery/store_outage.h
@@ -16,12 +16,19 @@
   base::Duration min_outage;
   /// A live target whose entry has expired is registered again within this time after the outage.
   base::Duration recovery_time;
+  /// See RemovedTargets.
+  base::Duration removal_memory_time = base::Duration::Seconds(60);
 };
 
 class StoreOutage {
  public:
   explicit StoreOutage(const OutageTiming& timing) : timing_(timing) {}
 
+  /// Whether an interruption was long enough for entries of live targets to expire.
+  bool IsOutage(base::Instant lost_at, base::Instant now) const {
+    return now - lost_at >= timing_.min_outage;
+  }
+
   /// The store answers this host again; before, it was last known to be reachable at `lost_at`.
   void OnRegained(base::Instant lost_at, base::Instant now);
 
--- /dev/null
+++ b/src/discovery/tests/removed_targets_test.cc
@@ -0,0 +1,146 @@
+// Tests that a target which the store has removed does not come back into use by what it had
+// reported before. Guards against requests to a target that has ended: the store carried out an
+// older report after the removal of the entry, or listed it again from an older copy.
+#include "discovery/removed_targets.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "discovery/registry.h"
+
+namespace mangonotch::discovery {
+namespace {
+
+constexpr std::int64_t kMemoryMs = 60'000;
+constexpr OutageTiming kTiming = {.min_outage = base::Duration::Seconds(3),
+                                  .recovery_time = base::Duration::Milliseconds(2500),
+                                  .removal_memory_time = base::Duration::Milliseconds(kMemoryMs)};
+constexpr std::int64_t kStartMs = 1'764'850'000'123;
+constexpr std::int64_t kRestartMs = kStartMs + 60'000;
+
+base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
+
+StoreRevision Restored(std::uint64_t revision) { return catalog::MakeRevision(1, revision); }
+
+catalog::Target Report(std::uint64_t sequence, bool is_draining = false,
+                       std::int64_t started_at_ms = kStartMs) {
+  catalog::Target target;
+  target.id = "t1";
+  target.service = "status";
+  target.zone = "a1";
+  target.is_draining = is_draining;
+  target.report = {.started_at_ms = started_at_ms, .sequence = sequence};
+  return target;
+}
+
+/// A host that knows of the removal of the target, at 0 ms and revision 20, after its report 7.
+struct Host {
+  explicit Host(bool was_draining = false) {
+    registry.PutTarget(Report(7, was_draining), 10);
+    registry.RemoveTarget("t1", 20, At(0));
+  }
+
+  bool IsListed() {
+    if (const auto next = registry.TakeUpdatedCatalog()) catalog = next;
+    return catalog && !catalog->targets.empty();
+  }
+
+  Registry registry{kTiming};
+  catalog::CatalogPtr catalog;
+};
+
+}  // namespace
+
+TEST_CASE("A report that is carried out after the removal does not bring the target back") {
+  Host host;
+  const std::uint64_t sequence = GENERATE(6, 7);
+  SECTION("Read in a watch") { host.registry.PutTarget(Report(sequence), 21); }
+  SECTION("Read in a listing") {
+    const std::vector<catalog::Target> listed = {Report(sequence)};
+    host.registry.ReplaceTargets(listed, 21, At(100));
+  }
+  REQUIRE_FALSE(host.IsListed());
+}
+
+TEST_CASE("A target that drained before its removal never comes back in its incarnation") {
+  Host host(true);
+  host.registry.PutTarget(Report(6), 21);
+  host.registry.PutTarget(Report(8), 22);
+  REQUIRE_FALSE(host.IsListed());
+  host.registry.Expire(At(2 * kMemoryMs));
+  REQUIRE_FALSE(host.IsListed());
+}
+
+TEST_CASE("A target whose entry lapses is used as soon as it reports again") {
+  Host host;
+  host.registry.PutTarget(Report(8), 21);
+  REQUIRE(host.IsListed());
+}
+
+TEST_CASE("A target that starts again under its id after its removal is used at once") {
+  const bool was_draining = GENERATE(false, true);
+  Host host(was_draining);
+  host.registry.PutTarget(Report(1, false, kRestartMs), 21);
+  REQUIRE(host.IsListed());
+  host.registry.RemoveTarget("t1", 22, At(100));
+  host.registry.PutTarget(Report(9), 23);
+  REQUIRE_FALSE(host.IsListed());
+}
+
+// A live target renews its entry, which the store does not report while nothing else changes.
+TEST_CASE("An older report that the store goes on listing is of a live target") {
+  Host host;
+  host.registry.PutTarget(Report(6), 21);
+  REQUIRE(host.registry.Expire(At(kMemoryMs - 1)) == At(kMemoryMs));
+  REQUIRE_FALSE(host.IsListed());
+  SECTION("It is used when the removal is forgotten") {
+    host.registry.Expire(At(kMemoryMs));
+    REQUIRE(host.IsListed());
+  }
+  SECTION("It is not, if the store has removed it again") {
+    host.registry.RemoveTarget("t1", 22, At(5000));
+    REQUIRE(host.registry.Expire(At(kMemoryMs)) == base::Instant::Never());
+    REQUIRE_FALSE(host.IsListed());
+  }
+  SECTION("It is not, if a listing lacks it") {
+    host.registry.ReplaceTargets({}, 22, At(5000));
+    host.registry.Expire(At(kMemoryMs));
+    REQUIRE_FALSE(host.IsListed());
+  }
+  SECTION("An outage of the store does not count") {
+    host.registry.OnStoreLost();
+    REQUIRE(host.registry.Expire(At(2 * kMemoryMs)) == base::Instant::Never());
+    REQUIRE_FALSE(host.IsListed());
+    host.registry.OnStoreRegained(At(5000), At(2 * kMemoryMs));
+    REQUIRE(host.registry.Expire(At(2 * kMemoryMs)) == At(3 * kMemoryMs));
+    host.registry.Expire(At(3 * kMemoryMs));
+    REQUIRE(host.IsListed());
+  }
+}
+
+TEST_CASE("A target that left without draining does not come back by an older copy of the store") {
+  Host host;
+  const std::vector<catalog::Target> listed = {Report(7)};
+  host.registry.ReplaceTargets(listed, Restored(5), At(1000));
+  REQUIRE_FALSE(host.IsListed());
+  host.registry.PutTarget(Report(9), Restored(6));
+  REQUIRE(host.IsListed());
+}
+
+TEST_CASE("Only the oldest removals are forgotten when there are too many") {
+  RemovedTargets removed(kTiming.removal_memory_time);
+  const auto report_of = [](std::size_t i) {
+    catalog::Target target = Report(7);
+    target.id = "t" + std::to_string(i);
+    return target;
+  };
+  for (std::size_t i = 0; i <= RemovedTargets::kMaxRemovals; ++i) {
+    const catalog::Target target = report_of(i);
+    removed.Add({.id = target.id, .revision = 20, .last_report = target.report}, At(0));
+  }
+  REQUIRE(removed.Admit(report_of(0), 21));
+  REQUIRE_FALSE(removed.Admit(report_of(1), 21));
+}
+
+}  // namespace mangonotch::discovery
--- a/tests/edge_tests/late_report_test.cc
+++ b/tests/edge_tests/late_report_test.cc
@@ -1,5 +1,6 @@
 // The store carries out a target's report after later ones of that target, while two hosts run.
-// Guards against requests to a target that is about to end: the late report made it ready again.
+// Guards against requests to a target that is about to end, or has ended: the late report made it
+// ready again, or entered it again.
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -24,6 +25,16 @@
   });
 }
 
+/// After its first line with `text`, no host has logged `other`.
+void CheckNeverLoggedAfter(EdgeDeployment& deployment, const std::string& text,
+                           const std::string& other) {
+  for (std::size_t i = 0; i < 2; ++i) {
+    const std::string log = deployment.host(i).process->Output();
+    INFO(log);
+    CHECK(log.find(other, log.find(text)) == std::string::npos);
+  }
+}
+
 }  // namespace
 
 TEST_CASE("A report that is carried out late does not send requests to a draining target") {
@@ -37,12 +48,24 @@
   store.Put(key, late);
   store.Put(deployment.worker(1).EntryKey(), NextReport(deployment, 1, true));
   REQUIRE(RunUntilLogged(deployment, "targets=2 draining=2"));
-  for (std::size_t i = 0; i < 2; ++i) {
-    const std::string log = deployment.host(i).process->Output();
-    const std::string since = log.substr(log.find("draining=1"));
-    INFO(log);
-    CHECK(since.find("draining=0") == std::string::npos);
-  }
+  CheckNeverLoggedAfter(deployment, "draining=1", "draining=0");
+}
+
+TEST_CASE("A report that is carried out late does not bring back a target that has left") {
+  EdgeDeployment deployment("late-report-after-removal", 2, Duration::Milliseconds(20));
+  REQUIRE(deployment.RunUntilReady());
+  platform::testing::StandInStore& store = deployment.store();
+  const std::string key = deployment.worker(0).EntryKey();
+  const std::string late = NextReport(deployment, 0, false);
+  store.Put(key, NextReport(deployment, 0, false));
+  // So that the late report is older than one that the hosts have read.
+  REQUIRE(RunUntilLogged(deployment, "target_reported target=w-1 draining=false"));
+  store.Delete(key);
+  REQUIRE(RunUntilLogged(deployment, "targets=1 draining=0"));
+  store.Put(key, late);
+  store.Put(deployment.worker(1).EntryKey(), NextReport(deployment, 1, true));
+  REQUIRE(RunUntilLogged(deployment, "targets=1 draining=1"));
+  CheckNeverLoggedAfter(deployment, "targets=1", "targets=2");
 }
 
 }  // namespace mangonotch::edge_tests
