Property tests of three modules fail when their property does

rc::check returns whether the property holds; table_state_test, edit_plan_test and parse_test (jsonc) did not look at it, so that they could not fail.

--- a/src/jsonc/tests/parse_test.cc
+++ b/src/jsonc/tests/parse_test.cc
@@ -67,7 +67,7 @@
 }
 
 TEST_CASE("Printed values parse back to equal values") {
-  rc::check([](const std::vector<std::pair<std::string, std::int64_t>>& pairs) {
+  REQUIRE(rc::check([](const std::vector<std::pair<std::string, std::int64_t>>& pairs) {
     Value::Array array;
     for (const auto& [text, n] : pairs) {
       std::string name = "f";
@@ -80,7 +80,7 @@
     const std::string text = Print(value);
     RC_ASSERT(Print(Parse(text, "f")) == text);
     RC_ASSERT(PrintCompact(Parse(text, "f")) == PrintCompact(value));
-  });
+  }));
 }
 
 }  // namespace mangonotch::jsonc
--- a/src/publication/tests/edit_plan_test.cc
+++ b/src/publication/tests/edit_plan_test.cc
@@ -187,7 +187,7 @@
 
 TEST_CASE(
     "Under any sequence of faults an edit is applied at most once and its outcome is correct") {
-  rc::check([](const std::vector<std::uint8_t>& raw, bool other_between) {
+  REQUIRE(rc::check([](const std::vector<std::uint8_t>& raw, bool other_between) {
     std::vector<StoreFault> script;
     script.reserve(raw.size());
     for (const std::uint8_t n : raw) {
@@ -216,7 +216,7 @@
     } else if (outcome.status != EditStatus::kUnknown) {
       RC_ASSERT(applied == 0);
     }
-  });
+  }));
 }
 
 }  // namespace mangonotch::publication
--- a/src/publication/tests/table_state_test.cc
+++ b/src/publication/tests/table_state_test.cc
@@ -38,7 +38,7 @@
 }
 
 TEST_CASE("No sequence of offers lowers the revision") {
-  rc::check([](const std::vector<std::uint8_t>& revisions) {
+  REQUIRE(rc::check([](const std::vector<std::uint8_t>& revisions) {
     TableState state(peers);
     base::Revision highest = 0;
     for (const std::uint8_t n : revisions) {
@@ -47,7 +47,7 @@
       highest = std::max(highest, offered);
       RC_ASSERT(state.revision() == highest);
     }
-  });
+  }));
 }
 
 TEST_CASE("A host without a table does not steer") {
