Registry and RemovedTargets: names and comments, read once more as a newcomer

MarkListed in place of ConfirmListed, which was easily taken for what makes an entry confirmed; a line for each function that had none.

--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -65,7 +65,7 @@
     UpdateTarget(entry, target);
     entry.is_confirmed = change.is_confirmed;
   }
-  ConfirmListed(entry, change.revision);
+  MarkListed(entry, change.revision);
 }
 
 void Registry::UpdateTarget(Entry& entry, const catalog::Target& target) {
@@ -84,7 +84,7 @@
   entry.target = std::move(next);
 }
 
-void Registry::ConfirmListed(Entry& entry, StoreRevision revision) {
+void Registry::MarkListed(Entry& entry, StoreRevision revision) {
   // Another host may name a newer report at a lower revision.
   if (revision <= entry.revision) return;
   // Read in a new era, it is sent on in any case: a follower may have dropped the older record.
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -108,14 +108,14 @@
  private:
   struct Entry {
     catalog::Target target;
-    /// The highest at which the target was read or removed.
+    /// The highest at which this host knows that the target was listed or removed.
     StoreRevision revision = 0;
     /// Sequence number of the last change of this entry.
     std::uint64_t sequence = 0;
     /// Set for an entry that the store has removed and that is kept until the end of the recovery
     /// from an outage.
     base::Instant keep_until = base::Instant::Never();
-    /// As in TargetChange.
+    /// As in TargetChange; false again with a newer report.
     bool is_confirmed = false;
   };
 
@@ -124,10 +124,11 @@
   /// Begins the recovery from a restore if `revision`, up to which targets are read now, is of a
   /// newer era.
   void ObserveTargetsEra(StoreRevision revision, base::Instant now);
-  /// This host has read the report in the store.
+  /// Applies a report that this host has read in the store, or sets it aside.
   void ReadTarget(const TargetChange& report);
-  /// Another host has sent the change.
+  /// Applies a change that another host has sent, unless it is known to be outdated.
   void MergeTarget(const TargetChange& change);
+  /// Enters or updates the target, unless it was removed at or after the revision.
   void ApplyTarget(const TargetChange& change);
   /// Whether `target`, read at `revision`, says more of the target than `entry`. The target's own
   /// order of its reports decides, and the revision only where that order is not known.
@@ -135,7 +136,7 @@
   /// Takes over what `target` says.
   void UpdateTarget(Entry& entry, const catalog::Target& target);
   /// The store lists the target at `revision`, with whatever report.
-  void ConfirmListed(Entry& entry, StoreRevision revision);
+  void MarkListed(Entry& entry, StoreRevision revision);
   void ApplyConfiguration(std::shared_ptr<const catalog::Configuration> configuration);
 
   /// Revision of the target's latest recorded removal, 0 if there is none. Older records of the
@@ -165,6 +166,7 @@
   std::shared_ptr<const catalog::Configuration> configuration_;
   Entries targets_;
   RemovedTargets removed_;
+  /// The store does not answer this host, and no other host has sent changes since.
   bool is_store_lost_ = false;
   std::set<std::string, std::less<>> evacuated_zones_;
   /// Those of `evacuated_zones_` that the restored store lacks, with the end of the recovery.
--- a/src/discovery/removed_targets.h
+++ b/src/discovery/removed_targets.h
@@ -42,6 +42,7 @@
                     base::Instant now);
   /// Another host has sent the removal.
   void Learn(const TargetRemoval& removal, base::Instant now);
+  /// The target is back.
   void Forget(std::string_view id);
 
   /// The target is known to be removed, and has made this report before the last one that is known.
@@ -68,6 +69,7 @@
   std::vector<TargetChange> TakeExpired(base::Instant now);
   /// When the next report that is set aside is due; Never() if there is none.
   base::Instant NextExpiry() const;
+  /// All that are remembered.
   std::vector<TargetRemoval> removals() const;
 
  private:
@@ -81,7 +83,9 @@
 
   /// Null if the target is not known to be removed.
   const TargetRemoval* Find(std::string_view id) const;
+  /// Joins `removal` with the known one of the target: the later report counts.
   const TargetRemoval& Insert(const TargetRemoval& removal);
+  /// Drops what was read at or before `revision`.
   static void DropReport(Removed& removed, catalog::StoreRevision revision);
 
   base::Duration memory_time_;
