--- a/tests/edge_tests/edge_deployment.cc
+++ b/tests/edge_tests/edge_deployment.cc
@@ -36,9 +36,7 @@
         platform::testing::WorkerOptions{
             .id = id, .service = kService, .zone = "north-a", .work_time = work_time},
         runs_));
-    StandInWorker& worker = *workers_.back();
-    store_.Put(worker.EntryKey(),
-               worker.Entry("127.0.0.1:" + std::to_string(worker.port()), false));
+    store_.Put(workers_.back()->EntryKey(), NextReport(workers_.size() - 1, false));
   }
   const std::string folder = std::string(MANGONOTCH_TEST_LOGS) + "/" + name;
   mkdir(MANGONOTCH_TEST_LOGS, 0755);
@@ -46,6 +44,18 @@
   for (int i = 1; i <= host_count; ++i) StartHost(folder, i, memory_mb);
 }
 
+bool EdgeDeployment::RunUntilAllHaveLogged(Duration limit, const std::string& text) {
+  return RunUntil(limit, [&] {
+    return std::all_of(hosts_.begin(), hosts_.end(),
+                       [&](const EdgeProcess& it) { return it.HasLogged(text); });
+  });
+}
+
+std::string EdgeDeployment::NextReport(std::size_t i, bool is_draining) {
+  StandInWorker& worker = *workers_[i];
+  return worker.Entry("127.0.0.1:" + std::to_string(worker.port()), is_draining);
+}
+
 void EdgeDeployment::StartHost(const std::string& folder, int number, int memory_mb) {
   const std::string name = "host-" + std::to_string(number);
   EdgeProcess host{.ip = network_.Host(number),
--- a/tests/edge_tests/edge_deployment.h
+++ b/tests/edge_tests/edge_deployment.h
@@ -57,6 +57,11 @@
   /// Runs until all hosts know the workers; false when they do not in time.
   bool RunUntilReady();
 
+  /// Runs until the logs of all hosts hold `text`; false when they do not within `limit`.
+  bool RunUntilAllHaveLogged(base::Duration limit, const std::string& text);
+  /// The entry of worker `i` with its next report.
+  std::string NextReport(std::size_t i, bool is_draining);
+
   /// What a caller within the limits receives from host `i` for an idempotent request with the id
   /// `request_id`, until its answer is complete, its connection is closed or `limit` has passed.
   std::string ReceivedByCaller(std::size_t i, const std::string& request_id, base::Duration limit);
--- a/tests/edge_tests/late_report_test.cc
+++ b/tests/edge_tests/late_report_test.cc
@@ -13,18 +13,6 @@
 
 constexpr Duration kMaxTime = Duration::Seconds(20);
 
-std::string NextReport(EdgeDeployment& deployment, std::size_t i, bool is_draining) {
-  platform::testing::StandInWorker& worker = deployment.worker(i);
-  return worker.Entry("127.0.0.1:" + std::to_string(worker.port()), is_draining);
-}
-
-/// Waits until both hosts have logged `text`.
-bool RunUntilLogged(EdgeDeployment& deployment, const std::string& text) {
-  return deployment.RunUntil(kMaxTime, [&] {
-    return deployment.host(0).HasLogged(text) && deployment.host(1).HasLogged(text);
-  });
-}
-
 /// After its first line with `text`, no host has logged `other`.
 void CheckNeverLoggedAfter(EdgeDeployment& deployment, const std::string& text,
                            const std::string& other) {
@@ -42,12 +30,12 @@
   REQUIRE(deployment.RunUntilReady());
   platform::testing::StandInStore& store = deployment.store();
   const std::string key = deployment.worker(0).EntryKey();
-  const std::string late = NextReport(deployment, 0, false);
-  store.Put(key, NextReport(deployment, 0, true));
-  REQUIRE(RunUntilLogged(deployment, "targets=2 draining=1"));
+  const std::string late = deployment.NextReport(0, false);
+  store.Put(key, deployment.NextReport(0, true));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=2 draining=1"));
   store.Put(key, late);
-  store.Put(deployment.worker(1).EntryKey(), NextReport(deployment, 1, true));
-  REQUIRE(RunUntilLogged(deployment, "targets=2 draining=2"));
+  store.Put(deployment.worker(1).EntryKey(), deployment.NextReport(1, true));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=2 draining=2"));
   CheckNeverLoggedAfter(deployment, "draining=1", "draining=0");
 }
 
@@ -56,15 +44,15 @@
   REQUIRE(deployment.RunUntilReady());
   platform::testing::StandInStore& store = deployment.store();
   const std::string key = deployment.worker(0).EntryKey();
-  const std::string late = NextReport(deployment, 0, false);
-  store.Put(key, NextReport(deployment, 0, false));
+  const std::string late = deployment.NextReport(0, false);
+  store.Put(key, deployment.NextReport(0, false));
   // So that the late report is older than one that the hosts have read.
-  REQUIRE(RunUntilLogged(deployment, "target_reported target=w-1 draining=false"));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "target_reported target=w-1 draining=false"));
   store.Delete(key);
-  REQUIRE(RunUntilLogged(deployment, "targets=1 draining=0"));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=1 draining=0"));
   store.Put(key, late);
-  store.Put(deployment.worker(1).EntryKey(), NextReport(deployment, 1, true));
-  REQUIRE(RunUntilLogged(deployment, "targets=1 draining=1"));
+  store.Put(deployment.worker(1).EntryKey(), deployment.NextReport(1, true));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=1 draining=1"));
   CheckNeverLoggedAfter(deployment, "targets=1", "targets=2");
 }
 
--- a/tests/edge_tests/restored_store_test.cc
+++ b/tests/edge_tests/restored_store_test.cc
@@ -23,15 +23,7 @@
 }
 
 void PutWorker(EdgeDeployment& deployment, std::size_t i, bool is_draining) {
-  platform::testing::StandInWorker& worker = deployment.worker(i);
-  deployment.store().Put(worker.EntryKey(),
-                         worker.Entry("127.0.0.1:" + std::to_string(worker.port()), is_draining));
-}
-
-bool RunUntilBothHaveLogged(EdgeDeployment& deployment, const std::string& text) {
-  return deployment.RunUntil(kMaxTime, [&] {
-    return deployment.host(0).HasLogged(text) && deployment.host(1).HasLogged(text);
-  });
+  deployment.store().Put(deployment.worker(i).EntryKey(), deployment.NextReport(i, is_draining));
 }
 
 /// The part of a host's log from the first line on that names the new era, of which the host learns
@@ -55,15 +47,15 @@
   PutConfiguration(deployment, 2);
   PutWorker(deployment, 1, true);
   store.Put(kEvacuationKey, "{}");
-  REQUIRE(
-      RunUntilBothHaveLogged(deployment, "configuration=2 targets=2 draining=1 evacuated=south-a"));
+  REQUIRE(deployment.RunUntilAllHaveLogged(
+      kMaxTime, "configuration=2 targets=2 draining=1 evacuated=south-a"));
 
   store.SetMode(StoreMode::kBusy);
   store.RefuseOpenWatches();
   deployment.RunFor(kAwayTime);
   store.Restore(copy);
   store.SetMode(StoreMode::kServing);
-  REQUIRE(RunUntilBothHaveLogged(deployment, "store_restored from_era=0 era=1"));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "store_restored from_era=0 era=1"));
   PutWorker(deployment, 0, false);
   // The evacuation is not written again.
   REQUIRE(deployment.RunUntil(kMaxTime, [&] {
@@ -83,7 +75,7 @@
     return store.Has("mangonotch/hosts/host-1") && store.Has("mangonotch/hosts/host-2");
   }));
   PutConfiguration(deployment, 3);
-  REQUIRE(RunUntilBothHaveLogged(deployment, "configuration=3 targets=2 draining=1"));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "configuration=3 targets=2 draining=1"));
 }
 
 }  // namespace mangonotch::edge_tests
