--- a/src/catalog/store_position.h
+++ b/src/catalog/store_position.h
@@ -23,6 +23,16 @@
 constexpr std::uint64_t EraOf(StoreRevision revision) { return revision >> kRevisionBits; }
 constexpr std::uint64_t RevisionInEra(StoreRevision revision) { return revision & kMaxEraRevision; }
 
+/// Whether the store has been restored since `known`; 0 if nothing is known.
+constexpr bool IsNewEra(StoreRevision known, StoreRevision revision) {
+  return known != 0 && EraOf(revision) > EraOf(known);
+}
+
+/// The era itself is news to hosts that have not seen it, also if the copy has no records.
+constexpr StoreRevision StartOfEra(StoreRevision revision) {
+  return MakeRevision(EraOf(revision), 0);
+}
+
 /// A revision for each of the two kinds of records, which are watched separately.
 struct StorePosition {
   /// The operators' records: the configuration and the zone evacuations.
