Log which report of a target a host believes, from whom and why

target_reported named what a watch of the store had read, not what became of it; reports of a listing and of other hosts were not logged at all. The registry now tells an observer of each decision, and the line says the source (watch, listing, host and which, memory), the verdict, and whether the target may get requests from then on. Of listings and other hosts' changes, only what is not in force or changes a target's use is logged. The line is written in src/app, not in platform/. catalog_changed named the watch's state as its source; it now names where the change comes from.

No change of decisions. discovery, platform, peering, edge_late_report_test, edge_restored_store_test and edge_store_cut_test pass.

--- a/src/app/internal/catalog_report.h
+++ b/src/app/internal/catalog_report.h
@@ -1,10 +1,11 @@
-// Logs a summary of the catalog after each change.
+// Logs a summary of the catalog after each change, and what the host makes of targets' reports.
 #pragma once
 
 #include <string_view>
 
 #include "catalog/catalog.h"
 #include "discovery/registry.h"
+#include "discovery/report_decision.h"
 
 namespace mangonotch::app {
 
@@ -13,4 +14,7 @@
 void LogCatalog(const catalog::Catalog& catalog, const discovery::Registry& registry,
                 std::string_view source);
 
+/// Logs one line. `sender` is the host that has sent the report, if another host has.
+void LogReport(const discovery::ReportDecision& decision, std::string_view sender);
+
 }  // namespace mangonotch::app
--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -75,7 +75,8 @@
 
   platform::SinkContext SinkContextOf();
   peering::Gossip::Callbacks GossipCallbacks();
-  void PublishCatalog();
+  /// `source`: where the last changes come from, as LogCatalog takes it.
+  void PublishCatalog(std::string_view source);
   /// The changes of another host have been merged.
   void OnMerged(const fleet::CatalogRequest& request);
   void ExchangeLoads();
@@ -130,7 +131,10 @@
                            logging::BoundedOutput& log)
     : settings_watch_(std::move(settings_path), settings),
       log_(log),
-      registry_(OutageTimingOf(settings.bounds)),
+      registry_(OutageTimingOf(settings.bounds),
+                [this](const discovery::ReportDecision& decision) {
+                  LogReport(decision, gossip_.last_source());
+                }),
       members_({.host = settings.host,
                 .zone = settings.zone,
                 .callers = settings.listen.callers,
@@ -167,7 +171,8 @@
 }
 
 platform::SinkContext EdgeHost::Control::SinkContextOf() {
-  return {.registry = registry_, .metrics = metrics_, .on_change = [this] { PublishCatalog(); }};
+  return {
+      .registry = registry_, .metrics = metrics_, .on_change = [this] { PublishCatalog("store"); }};
 }
 
 peering::Gossip::Callbacks EdgeHost::Control::GossipCallbacks() {
@@ -210,7 +215,7 @@
   logging::Log(Level::kInfo, "outage_reviewed",
                {{"served_elsewhere_ms", (now - since).milliseconds()},
                 {"recovering", registry_.IsRecovering(now)}});
-  PublishCatalog();
+  PublishCatalog("host");
 }
 
 void EdgeHost::Control::UpdateStoreWatches() {
@@ -226,12 +231,12 @@
   store_watches_.SetActive(watches);
 }
 
-void EdgeHost::Control::PublishCatalog() {
+void EdgeHost::Control::PublishCatalog(std::string_view source) {
   const base::Instant next = registry_.Expire(http1::Now());
   if (next != base::Instant::Never()) {
     expire_timer_.expires_at(http1::ToTimePoint(next));
     expire_timer_.async_wait([this](boost::system::error_code ec) {
-      if (!ec) PublishCatalog();
+      if (!ec) PublishCatalog("memory");
     });
   }
   const catalog::CatalogPtr catalog = registry_.TakeUpdatedCatalog();
@@ -240,14 +245,14 @@
   if (store_watches_.is_fresh()) gossip_.AnnounceLocally();
   has_configuration_ = has_configuration_ || catalog->configuration;
   has_targets_ = has_targets_ || !catalog->targets.empty();
-  LogCatalog(*catalog, registry_, store_watches_.is_fresh() ? "store" : "host");
+  LogCatalog(*catalog, registry_, source);
   gauges_.ReportCatalog(*catalog, registry_);
   if (catalog->configuration) quotas_.ApplyConfiguration(*catalog->configuration);
   traffic_.Post([catalog](TrafficThread::Proxy& proxy) { proxy.ApplyCatalog(catalog); });
 }
 
 void EdgeHost::Control::OnMerged(const fleet::CatalogRequest& request) {
-  PublishCatalog();
+  PublishCatalog("host");
   if (!request.is_behind) return;
   store_watches_.OnChangeMissed(registry_.newest());
   // The watchers of this region may all be behind, and heartbeats from other regions are rare.
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -26,21 +26,49 @@
 
 void Registry::PutTarget(const catalog::Target& target, StoreRevision revision) {
   AdvanceNewest({.targets = revision});
-  ReadTarget({.target = target, .revision = revision});
+  ReadTarget({.target = target, .revision = revision}, ReportOrigin::kWatch);
 }
 
-void Registry::ReadTarget(const TargetChange& report) {
-  if (removed_.IsOutdated(report.target)) {
-    removed_.SetAside(report);
-  } else {
-    ApplyTarget(report);
+void Registry::ReadTarget(const TargetChange& report, ReportOrigin origin) {
+  if (!removed_.IsOutdated(report.target)) {
+    ApplyTarget(report, origin);
+    return;
   }
+  const bool is_set_aside = removed_.SetAside(report);
+  Observe(report, origin, is_set_aside ? ReportVerdict::kSetAside : ReportVerdict::kRemoved,
+          std::nullopt);
 }
 
 void Registry::MergeTarget(const TargetChange& change) {
   const bool is_outdated =
       change.is_confirmed ? removed_.HasLeft(change.target) : removed_.IsOutdated(change.target);
-  if (!is_outdated) ApplyTarget(change);
+  if (is_outdated) {
+    Observe(change, ReportOrigin::kHost, ReportVerdict::kRemoved, std::nullopt);
+  } else {
+    ApplyTarget(change, ReportOrigin::kHost);
+  }
+}
+
+std::optional<bool> Registry::UseOf(std::string_view id) const {
+  const auto it = targets_.find(id);
+  if (it == targets_.end()) return std::nullopt;
+  return !it->second.target.is_draining;
+}
+
+void Registry::Observe(const TargetChange& report, ReportOrigin origin, ReportVerdict verdict,
+                       std::optional<bool> use_before) const {
+  if (!observer_) return;
+  const std::optional<bool> use = UseOf(report.target.id);
+  const bool is_one_of_many = origin == ReportOrigin::kListing || origin == ReportOrigin::kHost;
+  // Nearly all targets of a first listing are new and may get requests.
+  const bool is_new = !use_before && use == true;
+  const bool has_changed = use != use_before && !is_new;
+  if (is_one_of_many && verdict == ReportVerdict::kInForce && !has_changed) return;
+  const auto it = targets_.find(report.target.id);
+  observer_({.report = report,
+             .origin = origin,
+             .verdict = verdict,
+             .believed = it == targets_.end() ? nullptr : &it->second.target});
 }
 
 bool Registry::IsNews(const Entry& entry, const catalog::Target& target, StoreRevision revision) {
@@ -49,17 +77,25 @@
   return order == std::partial_ordering::greater || revision > entry.revision;
 }
 
-void Registry::ApplyTarget(const TargetChange& change) {
+void Registry::ApplyTarget(const TargetChange& change, ReportOrigin origin) {
   const catalog::Target& target = change.target;
-  if (LastRemovalRevision(target.id) >= change.revision) return;
+  const std::optional<bool> use_before = UseOf(target.id);
+  if (LastRemovalRevision(target.id) >= change.revision) {
+    Observe(change, origin, ReportVerdict::kRemoved, use_before);
+    return;
+  }
   removed_.Forget(target.id);
   const auto [it, is_new] = targets_.try_emplace(target.id);
   Entry& entry = it->second;
-  if (is_new || IsNews(entry, target, change.revision)) {
+  const bool is_news = is_new || IsNews(entry, target, change.revision);
+  const bool is_known = target.report == entry.target.report;
+  if (is_news) {
     UpdateTarget(entry, target);
     entry.is_confirmed = change.is_confirmed;
   }
   MarkListed(entry, change.revision);
+  Observe(change, origin, is_news || is_known ? ReportVerdict::kInForce : ReportVerdict::kOutdated,
+          use_before);
 }
 
 void Registry::UpdateTarget(Entry& entry, const catalog::Target& target) {
@@ -150,7 +186,7 @@
   std::set<std::string_view> listed;
   for (const catalog::Target& it : targets) {
     listed.insert(it.id);
-    ReadTarget({.target = it, .revision = revision});
+    ReadTarget({.target = it, .revision = revision}, ReportOrigin::kListing);
   }
   for (auto it = targets_.begin(); it != targets_.end();) {
     Entry& entry = it->second;
@@ -265,7 +301,9 @@
 
 base::Instant Registry::ExpireRemovals(base::Instant now) {
   if (is_store_lost_) return base::Instant::Never();
-  for (const TargetChange& it : removed_.TakeExpired(now)) ApplyTarget(it);
+  for (const TargetChange& it : removed_.TakeExpired(now)) {
+    ApplyTarget(it, ReportOrigin::kMemory);
+  }
   return removed_.NextExpiry();
 }
 
--- a/src/discovery/internal/removed_targets.cc
+++ b/src/discovery/internal/removed_targets.cc
@@ -71,12 +71,13 @@
   return removal != nullptr && HasDrained(target.report, *removal);
 }
 
-void RemovedTargets::SetAside(TargetChange report) {
+bool RemovedTargets::SetAside(TargetChange report) {
   const auto it = removed_.find(report.target.id);
-  if (it == removed_.end() || HasLeft(report.target)) return;
-  if (report.revision <= it->second.removal.revision) return;
+  if (it == removed_.end() || HasLeft(report.target)) return false;
+  if (report.revision <= it->second.removal.revision) return false;
   report.is_confirmed = true;
   it->second.report = std::move(report);
+  return true;
 }
 
 void RemovedTargets::DropReports() {
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -20,14 +20,16 @@
 #include "catalog/store_position.h"
 #include "discovery/catalog_changes.h"
 #include "discovery/removed_targets.h"
+#include "discovery/report_decision.h"
 #include "discovery/store_outage.h"
 
 namespace mangonotch::discovery {
 
 class Registry {
  public:
-  explicit Registry(const OutageTiming& timing)
-      : outage_(timing), removed_(timing.removal_memory_time) {}
+  /// `observer` may be empty.
+  explicit Registry(const OutageTiming& timing, ReportObserver observer = {})
+      : outage_(timing), removed_(timing.removal_memory_time), observer_(std::move(observer)) {}
 
   // Call these in the order of the revisions. A report of a target that the target made before the
   // known one, a configuration without a higher version and an evacuation older than the applied
@@ -125,11 +127,16 @@
   /// newer era.
   void ObserveTargetsEra(StoreRevision revision, base::Instant now);
   /// Applies a report that this host has read in the store, or sets it aside.
-  void ReadTarget(const TargetChange& report);
+  void ReadTarget(const TargetChange& report, ReportOrigin origin);
   /// Applies a change that another host has sent, unless it is known to be outdated.
   void MergeTarget(const TargetChange& change);
   /// Enters or updates the target, unless it was removed at or after the revision.
-  void ApplyTarget(const TargetChange& change);
+  void ApplyTarget(const TargetChange& change, ReportOrigin origin);
+  /// Whether the target may get requests; nullopt if it is not listed.
+  std::optional<bool> UseOf(std::string_view id) const;
+  /// Tells the observer of the decision if it asks for it. `use_before`: UseOf() before it.
+  void Observe(const TargetChange& report, ReportOrigin origin, ReportVerdict verdict,
+               std::optional<bool> use_before) const;
   /// Whether `target`, read at `revision`, says more of the target than `entry`. The target's own
   /// order of its reports decides, and the revision only where that order is not known.
   static bool IsNews(const Entry& entry, const catalog::Target& target, StoreRevision revision);
@@ -166,6 +173,7 @@
   std::shared_ptr<const catalog::Configuration> configuration_;
   Entries targets_;
   RemovedTargets removed_;
+  ReportObserver observer_;
   /// The store does not answer this host, and no other host has sent changes since.
   bool is_store_lost_ = false;
   std::set<std::string, std::less<>> evacuated_zones_;
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -52,6 +52,9 @@
   /// Sends a heartbeat to the known hosts of this region immediately.
   void AnnounceLocally();
 
+  /// Name of the host whose changes were fetched, or are being fetched, last.
+  const base::HostId& last_source() const { return fetch_source_.source.host; }
+
   /// Sends a datagram from the peer address. A datagram that cannot be sent is lost.
   void SendDatagram(const base::Endpoint& receiver, std::string_view bytes);
 
