A host that reads the store keeps what it has set aside when another host sends changes

Seen in a test: a target's entry lapses and the store lists an older report of it again, so that a host sets the report aside until the removal is forgotten. Another host sends changes before that, as to a watcher that is behind. The host forgets the report, and uses the live target never again: the store does not tell of renewals that change nothing else.

Cause: Registry::Merge took every host for one that follows another, which is told what the store lists. Class: what one knows from the source itself is dropped for somebody's word of it.

Change: Merge takes how this host learns of the store. One that reads it keeps what is set aside, sets aside what it has listed when it learns of the removal before that, and keeps what it has listed when a copy of an earlier or the same revision lacks it.

Evidence: three new cases of removed_targets_test, which fail with the old body of MergeTargets and MergeRemoval (trial on a scratch copy) and pass.

--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -228,7 +228,7 @@
   return changes;
 }
 
-void Registry::Merge(const CatalogChanges& changes, base::Instant now) {
+void Registry::Merge(const CatalogChanges& changes, base::Instant now, StoreAccess access) {
   is_store_lost_ = false;
   if (changes.configuration && changes.operator_revision > operator_revision_) {
     ReplaceOperatorRecords(changes.configuration, changes.evacuated_zones,
@@ -240,21 +240,24 @@
   // Targets of an earlier era may have left in it.
   const bool is_era_known =
       catalog::EraOf(changes.targets_revision) >= catalog::EraOf(targets_revision_);
-  if (is_era_known) MergeTargets(changes, now);
+  if (is_era_known) MergeTargets(changes, now, access);
   AdvanceOperatorRecords(changes.operator_revision);
   AdvanceNewest(changes.newest);
 }
 
-void Registry::MergeTargets(const CatalogChanges& changes, base::Instant now) {
+void Registry::MergeTargets(const CatalogChanges& changes, base::Instant now, StoreAccess access) {
   ObserveTargetsEra(changes.targets_revision, now);
-  removed_.DropReports();
+  if (access == StoreAccess::kFollows) removed_.DropReports();
   std::set<std::string_view> listed;
   for (const TargetChange& it : changes.targets) {
     listed.insert(it.target.id);
     MergeTarget(it);
   }
-  for (const TargetRemoval& it : changes.removals) MergeRemoval(it, now);
-  if (changes.is_full) {
+  for (const TargetRemoval& it : changes.removals) MergeRemoval(it, now, access);
+  // What this host has read in the store at a later position says more than a copy without it.
+  const bool is_listing_newer =
+      access == StoreAccess::kReads && changes.targets_revision <= targets_revision_;
+  if (changes.is_full && !is_listing_newer) {
     for (auto it = targets_.begin(); it != targets_.end();) {
       Entry& entry = it->second;
       if (listed.contains(it->first) || entry.revision > changes.targets_revision) {
@@ -270,7 +273,7 @@
   AdvanceTargets(changes.targets_revision);
 }
 
-void Registry::MergeRemoval(const TargetRemoval& removal, base::Instant now) {
+void Registry::MergeRemoval(const TargetRemoval& removal, base::Instant now, StoreAccess access) {
   const auto it = targets_.find(removal.id);
   if (it == targets_.end()) {
     removed_.Learn(removal, now);
@@ -281,8 +284,11 @@
   const bool is_back = entry.revision > removal.revision &&
                        (entry.is_confirmed || !IsOutdated(entry.target.report, removal));
   if (is_back) return;
+  TargetChange listed{.target = entry.target, .revision = entry.revision};
   removed_.Learn(removal, now);
   Erase(it, removal.revision, now);
+  // The target may be live, and the store may not tell of a newer report.
+  if (access == StoreAccess::kReads) removed_.SetAside(std::move(listed));
 }
 
 base::Instant Registry::Expire(base::Instant now) {
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -25,6 +25,14 @@
 
 namespace mangonotch::discovery {
 
+/// How a host learns which targets the store lists.
+enum class StoreAccess : std::uint8_t {
+  /// Another host tells it.
+  kFollows,
+  /// It reads the store itself.
+  kReads,
+};
+
 class Registry {
  public:
   /// `observer` may be empty.
@@ -73,8 +81,10 @@
   /// Changes made after `sequence`; the full catalog if `sequence` is 0, greater than the current
   /// one, or older than the recorded removals.
   CatalogChanges ChangesSince(std::uint64_t sequence) const;
-  /// Applies those changes of another host that are newer than the local state.
-  void Merge(const CatalogChanges& changes, base::Instant now);
+  /// Applies those changes of another host that are newer than the local state. `access` is that of
+  /// this host.
+  void Merge(const CatalogChanges& changes, base::Instant now,
+             StoreAccess access = StoreAccess::kFollows);
 
   /// All changes up to this position have been applied.
   StorePosition applied() const {
@@ -152,8 +162,8 @@
   /// The end of the recovery for an entry that is to be kept until then; nullopt for one that is to
   /// be removed at once.
   std::optional<base::Instant> KeepUntil(const Entry& entry, base::Instant now) const;
-  void MergeTargets(const CatalogChanges& changes, base::Instant now);
-  void MergeRemoval(const TargetRemoval& removal, base::Instant now);
+  void MergeTargets(const CatalogChanges& changes, base::Instant now, StoreAccess access);
+  void MergeRemoval(const TargetRemoval& removal, base::Instant now, StoreAccess access);
   /// Removes the entry, records the removal and returns the next entry.
   Entries::iterator Erase(Entries::iterator it, StoreRevision revision, base::Instant now);
   void SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now);
--- a/src/discovery/tests/removed_targets_test.cc
+++ b/src/discovery/tests/removed_targets_test.cc
@@ -161,6 +161,61 @@
   REQUIRE(newcomer.IsListed());
 }
 
+// Guards against a live target that a host never uses again, since it has forgotten that the store
+// lists it.
+TEST_CASE(
+    "A host that reads the store keeps what it has set aside when another host tells it more") {
+  Host host;
+  host.registry.PutTarget(Report(6), 21);
+  Host other;
+  other.registry.PutTarget(Report(6), 21);
+  host.registry.Merge(other.registry.ChangesSince(0), At(5000), StoreAccess::kReads);
+  REQUIRE_FALSE(host.IsListed());
+  SECTION("It is used if it goes on being listed") {
+    host.registry.Expire(At(kMemoryMs));
+    REQUIRE(host.IsListed());
+  }
+  SECTION("It is not, if the store removes it") {
+    host.registry.RemoveTarget("t1", 22, At(6000));
+    host.registry.Expire(At(kMemoryMs));
+    REQUIRE_FALSE(host.IsListed());
+  }
+}
+
+TEST_CASE("A host that learns of a removal before what it has listed sets that aside") {
+  Host host;
+  Host newcomer;
+  newcomer.registry = Registry(kTiming);
+  const std::vector<catalog::Target> listed = {Report(6)};
+  newcomer.registry.ReplaceTargets(listed, 21, At(0));
+  REQUIRE(newcomer.IsListed());
+  newcomer.registry.Merge(host.registry.ChangesSince(0), At(100), StoreAccess::kReads);
+  REQUIRE_FALSE(newcomer.IsListed());
+  SECTION("It is used if it goes on being listed") {
+    newcomer.registry.Expire(At(kMemoryMs + 100));
+    REQUIRE(newcomer.IsListed());
+  }
+  SECTION("It is not, if the store removes it") {
+    newcomer.registry.RemoveTarget("t1", 22, At(1000));
+    newcomer.registry.Expire(At(kMemoryMs));
+    REQUIRE_FALSE(newcomer.IsListed());
+  }
+}
+
+TEST_CASE("A target that a host has listed stays although another host at that revision lacks it") {
+  Registry other(kTiming);
+  other.AdvanceTargets(21);
+  Host newcomer;
+  newcomer.registry = Registry(kTiming);
+  const std::vector<catalog::Target> listed = {Report(6)};
+  newcomer.registry.ReplaceTargets(listed, 21, At(0));
+  newcomer.registry.Merge(other.ChangesSince(0), At(100), StoreAccess::kReads);
+  REQUIRE(newcomer.IsListed());
+  other.AdvanceTargets(22);
+  newcomer.registry.Merge(other.ChangesSince(0), At(200), StoreAccess::kReads);
+  REQUIRE_FALSE(newcomer.IsListed());
+}
+
 TEST_CASE("A removal that another host knows does not end the use of a target that is back") {
   Host host;
   host.registry.AdvanceTargets(20);
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -221,7 +221,9 @@
   }
   CloseFetch();
   catalog_sync_.OnFetched(fetch_source_.incarnation, changes->sequence);
-  registry_.Merge(*changes, http1::Now());
+  const auto access = callbacks_.has_fresh_catalog() ? discovery::StoreAccess::kReads
+                                                     : discovery::StoreAccess::kFollows;
+  registry_.Merge(*changes, http1::Now(), access);
   callbacks_.on_merged(fetch_source_);
 }
 
