A host that has listed the targets asks another one what it knows (DRAIN)

Seen by callers: none yet.

Cause: a host that reads the store took its first listing for all that is known. It asked another host only if it was behind by the store's revision, which it is not.

Change: after each listing a host asks one other host once for its changes, unless it has them all. They name reports by the target's own order and the removals that are remembered.

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -171,8 +171,10 @@
 }
 
 platform::SinkContext EdgeHost::Control::SinkContextOf() {
-  return {
-      .registry = registry_, .metrics = metrics_, .on_change = [this] { PublishCatalog("store"); }};
+  return {.registry = registry_,
+          .metrics = metrics_,
+          .on_change = [this] { PublishCatalog("store"); },
+          .on_targets_listed = [this] { gossip_.OnTargetsListed(); }};
 }
 
 peering::Gossip::Callbacks EdgeHost::Control::GossipCallbacks() {
--- a/src/fleet/catalog_sync.h
+++ b/src/fleet/catalog_sync.h
@@ -1,7 +1,8 @@
 // Decides from which host, if any, to fetch changes of the catalog. A host that does not watch the
 // store follows one that does. Any host that stays behind another one fetches from that one,
 // whatever its own source or its own store watches say: a watch on a silent connection looks like
-// a store in which nothing changes.
+// a store in which nothing changes. A host that has listed the store's entries fetches once from
+// another one: an entry may hold an older report of its target than the other has read.
 #pragma once
 
 #include <cstdint>
@@ -33,6 +34,8 @@
   /// watches are up to date as far as it can tell.
   std::optional<CatalogRequest> Next(const Members& members, const catalog::StorePosition& applied,
                                      bool is_fresh, base::Instant now);
+  /// Reports that this host has listed the entries of the targets in the store.
+  void OnListed() { is_listing_unchecked_ = true; }
   /// Reports that the changes of a host up to `sequence` have been applied.
   void OnFetched(base::Incarnation source, std::uint64_t sequence);
   /// Reports that a host did not answer a request; others are asked first for a while.
@@ -52,6 +55,9 @@
   /// The host to avoid; 0 if there is none.
   base::Incarnation Avoided(base::Instant now) const { return now < avoid_until_ ? failed_ : 0; }
   const Heartbeat* FindSource(const Members& members, base::Instant now) const;
+  /// The host to compare a listing with; null if there is none, or if this host knows all that it
+  /// knows.
+  const Heartbeat* FindListingCheck(const Members& members, base::Instant now);
   CatalogRequest RequestTo(const Heartbeat& source, bool is_behind) const;
   std::uint64_t FetchedSequence(base::Incarnation source) const;
 
@@ -60,6 +66,8 @@
   /// Sequence number of the last changes fetched from each source. At most kMaxFetchedSources.
   std::map<base::Incarnation, std::uint64_t> fetched_;
   std::optional<MissingChange> missing_change_;
+  /// No other host's changes have been applied since the last listing.
+  bool is_listing_unchecked_ = false;
   /// The last host that did not answer, and until when the others are asked first.
   base::Incarnation failed_ = 0;
   base::Instant avoid_until_;
--- a/src/fleet/internal/catalog_sync.cc
+++ b/src/fleet/internal/catalog_sync.cc
@@ -25,6 +25,9 @@
     source_ = ahead->incarnation;
     return RequestTo(*ahead, true);
   }
+  if (const Heartbeat* const other = FindListingCheck(members, now)) {
+    return RequestTo(*other, false);
+  }
   if (is_fresh) return std::nullopt;
   const Heartbeat* const source = FindSource(members, now);
   if (source == nullptr) return std::nullopt;
@@ -53,6 +56,14 @@
   return members.FindCatalogSource(avoided, now);
 }
 
+const Heartbeat* CatalogSync::FindListingCheck(const Members& members, base::Instant now) {
+  if (!is_listing_unchecked_) return nullptr;
+  const Heartbeat* const other = members.FindWithCatalog(Avoided(now), now);
+  if (other == nullptr) return nullptr;
+  is_listing_unchecked_ = other->catalog_sequence > FetchedSequence(other->incarnation);
+  return is_listing_unchecked_ ? other : nullptr;
+}
+
 CatalogRequest CatalogSync::RequestTo(const Heartbeat& source, bool is_behind) const {
   return {.source = source.sender,
           .incarnation = source.incarnation,
@@ -68,6 +79,7 @@
 void CatalogSync::OnFetched(base::Incarnation source, std::uint64_t sequence) {
   if (fetched_.size() >= kMaxFetchedSources && !fetched_.contains(source)) fetched_.clear();
   fetched_[source] = sequence;
+  is_listing_unchecked_ = false;
 }
 
 void CatalogSync::OnFailed(base::Incarnation source, base::Instant now) {
--- a/src/fleet/internal/members.cc
+++ b/src/fleet/internal/members.cc
@@ -270,6 +270,10 @@
   return FindNearest(avoided, now, [](const Heartbeat& it) { return it.has_fresh_catalog; });
 }
 
+const Heartbeat* Members::FindWithCatalog(base::Incarnation avoided, base::Instant now) const {
+  return FindNearest(avoided, now, [](const Heartbeat& it) { return it.catalog_sequence > 0; });
+}
+
 const Heartbeat* Members::FindAhead(const catalog::StorePosition& applied,
                                     base::Incarnation avoided, base::Instant now) const {
   return FindNearest(avoided, now,
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -92,6 +92,10 @@
   /// The last heartbeat of a live host with a fresh catalog, preferably of this region; null if
   /// there is none. `avoided` is returned only if there is no other.
   const Heartbeat* FindCatalogSource(base::Incarnation avoided, base::Instant now) const;
+  /// The last heartbeat of a live host that has a catalog, from the store or from another host,
+  /// preferably of this region; null if there is none. `avoided` is returned only if there is no
+  /// other.
+  const Heartbeat* FindWithCatalog(base::Incarnation avoided, base::Instant now) const;
   /// The last heartbeat of a live host that knows a change after `applied`, preferably of this
   /// region; null if there is none. `avoided` is returned only if there is no other.
   const Heartbeat* FindAhead(const catalog::StorePosition& applied, base::Incarnation avoided,
--- a/src/fleet/tests/catalog_sync_test.cc
+++ b/src/fleet/tests/catalog_sync_test.cc
@@ -128,6 +128,39 @@
   REQUIRE(fixture.Next({}, false, 800)->incarnation == 1);
 }
 
+// Guards against a host that takes a late report for the newest, since it has read nothing else.
+TEST_CASE("A host that has listed the targets asks another host once what it knows") {
+  Fixture fixture;
+  const StorePosition known = {.operator_records = 10, .targets = 10};
+  fixture.sync.OnListed();
+  REQUIRE_FALSE(fixture.Next(known, true, 0));
+  const bool is_watcher = GENERATE(true, false);
+  fixture.Hear(1, "a1", is_watcher, known, 5, 0);
+  const auto request = fixture.Next(known, true, 0);
+  REQUIRE(request);
+  REQUIRE(request->since == 0);
+  REQUIRE_FALSE(request->is_behind);
+  SECTION("Until that host has answered") {
+    REQUIRE(fixture.Next(known, true, 1));
+    fixture.sync.OnFetched(1, 5);
+    REQUIRE_FALSE(fixture.Next(known, true, 2));
+  }
+  SECTION("Or another one, if that host does not answer") {
+    fixture.Hear(2, "a1", true, known, 7, 0);
+    fixture.sync.OnFailed(1, At(800));
+    REQUIRE(fixture.Next(known, true, 800)->incarnation == 2);
+  }
+}
+
+TEST_CASE("A host that has listed the targets asks nothing of a host whose changes it all has") {
+  Fixture fixture;
+  const StorePosition known = {.operator_records = 10, .targets = 10};
+  fixture.Hear(1, "a1", true, known, 5, 0);
+  fixture.sync.OnFetched(1, 5);
+  fixture.sync.OnListed();
+  REQUIRE_FALSE(fixture.Next(known, true, 0));
+}
+
 TEST_CASE("Of the hosts that are ahead, one of the own region is preferred") {
   Fixture fixture;
   fixture.Hear(1, "b1", true, {20, 10}, 5, 0);
--- a/src/peering/gossip.h
+++ b/src/peering/gossip.h
@@ -52,6 +52,10 @@
   /// Sends a heartbeat to the known hosts of this region immediately.
   void AnnounceLocally();
 
+  /// This host has listed the entries of the targets in the store: asks another host once what it
+  /// knows of them.
+  void OnTargetsListed();
+
   /// Name of the host whose changes were fetched, or are being fetched, last.
   const base::HostId& last_source() const { return fetch_source_.source.host; }
 
--- a/src/peering/internal/gossip.cc
+++ b/src/peering/internal/gossip.cc
@@ -159,6 +159,11 @@
   });
 }
 
+void Gossip::OnTargetsListed() {
+  catalog_sync_.OnListed();
+  FetchIfBehind();
+}
+
 void Gossip::FetchIfBehind() {
   const base::Instant now = http1::Now();
   if (fetch_ && now >= fetch_deadline_) OnFetchFailed("timed out");
--- a/src/peering/tests/gossip_test.cc
+++ b/src/peering/tests/gossip_test.cc
@@ -167,6 +167,22 @@
   }));
 }
 
+TEST_CASE("A host that has listed a late report learns from another that the target drains") {
+  Fixture fixture;
+  catalog::Target late = MakeTarget("t2", false);
+  late.report = {.started_at_ms = 1, .sequence = 6};
+  catalog::Target draining = MakeTarget("t2", true);
+  draining.report = {.started_at_ms = 1, .sequence = 7};
+  fixture.second.registry.PutTarget(draining, 20);
+  fixture.second.registry.PutTarget(late, 21);
+  const std::vector<catalog::Target> listed = {late};
+  fixture.first.registry.ReplaceTargets(listed, 21, http1::Now());
+  fixture.second.registry.AdvanceTargets(21);
+  fixture.first.UpdateCatalog();
+  fixture.first.gossip.OnTargetsListed();
+  REQUIRE(fixture.RunUntil([&] { return fixture.first.KnowsDrainingTarget(); }));
+}
+
 TEST_CASE("A host whose source does not answer fetches from another one") {
   boost::asio::io_context context;
   TestHost healthy(context, "host-2", "a1", true);
