A target drains from whichever report says so, in whatever order they are read (DRAIN)

Seen by callers: not seen. Shown by a test of the registry: a host that has read a ready report with the number 8, and then the draining one with the number 7, goes on sending requests. Nothing on the users' pages says that a worker numbers its reports in the order in which it writes them: a heartbeat that it is about to write while it begins to drain may have the higher number.

Cause: a lower number outweighed what the report says, although nothing ends draining but the end of the incarnation. Class: an order of messages decides on a fact that only ever changes in one direction.

Change: the registry joins draining over all reports of an incarnation, also those that are outdated, known from other hosts, or read after the removal of the entry.

Evidence: new cases of report_order_test (2 sections) and removed_targets_test (2 sections) failed before and pass; discovery, fleet, peering and edge_late_report_test pass.

--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -87,17 +87,28 @@
   removed_.Forget(target.id);
   const auto [it, is_new] = targets_.try_emplace(target.id);
   Entry& entry = it->second;
-  const bool is_news = is_new || IsNews(entry, target, change.revision);
-  const bool is_known = target.report == entry.target.report;
-  if (is_news) {
+  const bool is_newest = is_new || IsNews(entry, target, change.revision);
+  bool is_in_force = is_newest || target.report == entry.target.report;
+  if (is_newest) {
     UpdateTarget(entry, target);
     entry.is_confirmed = change.is_confirmed;
+  } else if (TakeDraining(entry, target)) {
+    is_in_force = true;
   }
   MarkListed(entry, change.revision);
-  Observe(change, origin, is_news || is_known ? ReportVerdict::kInForce : ReportVerdict::kOutdated,
+  Observe(change, origin, is_in_force ? ReportVerdict::kInForce : ReportVerdict::kOutdated,
           use_before);
 }
 
+bool Registry::TakeDraining(Entry& entry, const catalog::Target& target) {
+  const bool is_news = target.is_draining && !entry.target.is_draining &&
+                       catalog::IsSameIncarnation(entry.target.report, target.report);
+  if (!is_news) return false;
+  entry.target.is_draining = true;
+  entry.sequence = ++sequence_;
+  return true;
+}
+
 void Registry::UpdateTarget(Entry& entry, const catalog::Target& target) {
   catalog::Target next = target;
   // Reports of the same incarnation may round the cold time differently; the longer one is used.
--- a/src/discovery/internal/removed_targets.cc
+++ b/src/discovery/internal/removed_targets.cc
@@ -45,6 +45,7 @@
   const bool is_known_later =
       catalog::Compare(known.last_report, removal.last_report) == std::partial_ordering::greater;
   const TargetRemoval earlier = is_known_later ? removal : std::exchange(known, removal);
+  known.was_draining = known.was_draining || HasDrained(known.last_report, earlier);
   known.revision = std::max(known.revision, earlier.revision);
   known.forget_at = std::max(known.forget_at, earlier.forget_at);
   removed.number = ++last_number_;
@@ -73,8 +74,12 @@
 
 bool RemovedTargets::SetAside(TargetChange report) {
   const auto it = removed_.find(report.target.id);
-  if (it == removed_.end() || HasLeft(report.target)) return false;
-  if (report.revision <= it->second.removal.revision) return false;
+  if (it == removed_.end()) return false;
+  TargetRemoval& removal = it->second.removal;
+  const bool is_same = catalog::IsSameIncarnation(report.target.report, removal.last_report);
+  removal.was_draining = removal.was_draining || (is_same && report.target.is_draining);
+  if (HasLeft(report.target)) return false;
+  if (report.revision <= removal.revision) return false;
   report.is_confirmed = true;
   it->second.report = std::move(report);
   return true;
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -41,10 +41,10 @@
 
   // Call these in the order of the revisions. A report of a target that the target made before the
   // known one, a configuration without a higher version and an evacuation older than the applied
-  // operator records are ignored. A target that drains does so until the end of its incarnation,
-  // and one that was removed does not come back by what it had reported before. A revision of a
-  // newer era means that the store has been restored from an older copy; what the copy lacks is
-  // then kept for the recovery time.
+  // operator records are ignored. A target drains from the first report that says so, in whatever
+  // order they are read, until the end of its incarnation, and one that was removed does not come
+  // back by what it had reported before. A revision of a newer era means that the store has been
+  // restored from an older copy; what the copy lacks is then kept for the recovery time.
 
   void PutTarget(const catalog::Target& target, StoreRevision revision);
   /// A target that is removed during the recovery from a store outage without having been draining
@@ -150,6 +150,8 @@
   /// Whether `target`, read at `revision`, says more of the target than `entry`. The target's own
   /// order of its reports decides, and the revision only where that order is not known.
   static bool IsNews(const Entry& entry, const catalog::Target& target, StoreRevision revision);
+  /// Takes over that the incarnation drains if `target` says so. Returns whether that is news.
+  bool TakeDraining(Entry& entry, const catalog::Target& target);
   /// Takes over what `target` says.
   void UpdateTarget(Entry& entry, const catalog::Target& target);
   /// The store lists the target at `revision`, with whatever report.
--- a/src/discovery/removed_targets.h
+++ b/src/discovery/removed_targets.h
@@ -49,8 +49,8 @@
   bool IsOutdated(const catalog::Target& target) const;
   /// The target is known to be removed, and has drained in the same incarnation.
   bool HasLeft(const catalog::Target& target) const;
-  /// Keeps an outdated report that the store lists, unless the target has left. Returns whether the
-  /// report is kept.
+  /// Keeps an outdated report that the store lists, unless the target has left, or says here that
+  /// it drains. Returns whether the report is kept.
   bool SetAside(TargetChange report);
   /// The store does not list the target at `revision`.
   void OnMissing(std::string_view id, catalog::StoreRevision revision);
--- a/src/discovery/tests/removed_targets_test.cc
+++ b/src/discovery/tests/removed_targets_test.cc
@@ -225,6 +225,20 @@
   REQUIRE(other.IsListed());
 }
 
+TEST_CASE("A removed target has left if any report says that it drains") {
+  Host host;
+  SECTION("Read before the removal by another host") {
+    Host other;
+    other.registry = Registry(kTiming);
+    other.registry.PutTarget(Report(6, true), 10);
+    other.registry.RemoveTarget("t1", 20, At(0));
+    host.registry.Merge(other.registry.ChangesSince(0), At(100));
+  }
+  SECTION("Read after the removal") { host.registry.PutTarget(Report(6, true), 21); }
+  host.registry.PutTarget(Report(8), 22);
+  REQUIRE_FALSE(host.IsListed());
+}
+
 TEST_CASE("A follower knows of the report that its source has read last before a removal") {
   Registry source(kTiming);
   source.PutTarget(Report(3), 10);
--- a/src/discovery/tests/report_order_test.cc
+++ b/src/discovery/tests/report_order_test.cc
@@ -112,6 +112,27 @@
   REQUIRE_FALSE(host.IsUsed());
 }
 
+// Guards against a target that counts its reports in another order than it writes them: a heartbeat
+// that it was about to write has the higher number, and is read first.
+TEST_CASE("A target drains from the first report that says so, whatever was read before it") {
+  Host host;
+  host.registry.PutTarget(Ready(8), 10);
+  SECTION("Read in the store") { host.registry.PutTarget(Draining(7), 11); }
+  SECTION("Told by another host") {
+    Host other;
+    other.registry.PutTarget(Draining(7), 11);
+    host.registry.Merge(other.registry.ChangesSince(0), At(0));
+  }
+  REQUIRE_FALSE(host.IsUsed());
+  Host follower;
+  follower.registry.Merge(host.registry.ChangesSince(0), At(0));
+  REQUIRE_FALSE(follower.IsUsed());
+  host.registry.PutTarget(Ready(9), 12);
+  REQUIRE_FALSE(host.IsUsed());
+  host.registry.PutTarget(Ready(1, kRestartMs), 13);
+  REQUIRE(host.IsUsed());
+}
+
 TEST_CASE("Reports without a start or a number are in force in the order of the store") {
   for (const auto& [known, next] :
        {std::pair(Draining(7, 0), Ready(6, 0)), std::pair(Draining(7), Ready(6, 0)),
