The last report of a target that has left does not bring it back (DRAIN)

Seen by callers: none yet. New case of edge_late_report_test, two hosts and a store: a target makes a report, the store has not carried it out when the target's entry is removed, and does so then. All hosts sent requests to the target until its entry lapsed (three heartbeats).

Cause: after a removal, a report with a higher number than the last one read was taken for a return after a lapse. A call may be executed seconds later, so that the number proves nothing that soon.

Change: in the seconds in which the store may carry out earlier calls, RemovedTargets sets a newer report of the same incarnation aside as well, until the store has listed it for longer than an entry that is not renewed, or tells of another one after these seconds. At once, as before: another incarnation, a return in the recovery from an outage, and an entry that could not be read for a while.

Weighed: dating a report by its number (it is only approximately one each heartbeat); asking the target by its health check (priced, and false on some deployments).

--- a/src/app/internal/edge_host.cc
+++ b/src/app/internal/edge_host.cc
@@ -131,7 +131,7 @@
                            logging::BoundedOutput& log)
     : settings_watch_(std::move(settings_path), settings),
       log_(log),
-      registry_(OutageTimingOf(settings.bounds),
+      registry_(OutageTimingOf(settings.bounds), RemovalTimingOf(settings.bounds),
                 [this](const discovery::ReportDecision& decision) {
                   LogReport(decision, gossip_.last_source());
                 }),
--- a/src/app/internal/edge_parameters.cc
+++ b/src/app/internal/edge_parameters.cc
@@ -20,6 +20,10 @@
 /// An entry expires after three intervals; the store carries out a call within seconds, so that the
 /// others have a wide margin.
 constexpr std::int64_t kRemovalMemoryIntervals = 40;
+/// Three, and two more after which a watch on a silent connection is noticed and renewed.
+constexpr std::int64_t kLapseIntervals = 6;
+/// The store carries out a call that got no answer "seconds later", if at all.
+constexpr Duration kLateCallTime = Duration::Seconds(8);
 /// Divisor that gives the share of file descriptors for caller connections; the rest is for
 /// targets, the store and files.
 constexpr std::size_t kCallerDescriptorsDivisor = 2;
@@ -41,8 +45,15 @@
 
 discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds) {
   return {.min_outage = bounds.target_heartbeat * kMinOutageIntervals,
-          .recovery_time = kRecoveryTime,
-          .removal_memory_time = bounds.target_heartbeat * kRemovalMemoryIntervals};
+          .recovery_time = kRecoveryTime};
+}
+
+discovery::RemovalTiming RemovalTimingOf(const settings::EdgeBounds& bounds) {
+  const Duration lapse_time = bounds.target_heartbeat * kLapseIntervals;
+  const Duration memory_time = bounds.target_heartbeat * kRemovalMemoryIntervals;
+  return {.memory_time = std::max(memory_time, kLateCallTime + lapse_time),
+          .late_call_time = kLateCallTime,
+          .lapse_time = lapse_time};
 }
 
 steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds) {
--- a/src/app/internal/edge_parameters.h
+++ b/src/app/internal/edge_parameters.h
@@ -6,6 +6,7 @@
 
 #include "base/duration.h"
 #include "base/endpoint.h"
+#include "discovery/removed_targets.h"
 #include "discovery/store_outage.h"
 #include "edge/request_proxy.h"
 #include "quota/terms.h"
@@ -16,6 +17,7 @@
 namespace mangonotch::app {
 
 discovery::OutageTiming OutageTimingOf(const settings::EdgeBounds& bounds);
+discovery::RemovalTiming RemovalTimingOf(const settings::EdgeBounds& bounds);
 steering::RetryLimits RetryLimitsOf(const settings::EdgeBounds& bounds);
 quota::Terms QuotaTermsOf(const settings::EdgeBounds& bounds);
 steering::EngineSettings EngineSettingsOf(const settings::EdgeSettings& settings);
--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -24,25 +24,29 @@
   AdvanceNewest({.targets = StartOfEra(revision)});
 }
 
-void Registry::PutTarget(const catalog::Target& target, StoreRevision revision) {
+void Registry::PutTarget(const catalog::Target& target, StoreRevision revision, base::Instant now) {
   AdvanceNewest({.targets = revision});
-  ReadTarget({.target = target, .revision = revision}, ReportOrigin::kWatch);
+  ReadTarget({.target = target, .revision = revision}, ReportOrigin::kWatch, now);
 }
 
-void Registry::ReadTarget(const TargetChange& report, ReportOrigin origin) {
-  if (!removed_.IsOutdated(report.target)) {
+void Registry::ReadTarget(const TargetChange& report, ReportOrigin origin, base::Instant now) {
+  // After an outage, many live targets are listed again.
+  const bool is_doubtful = removed_.IsDoubtful(report.target, now) && !IsRecovering(now);
+  if (!is_doubtful && !removed_.IsOutdated(report.target)) {
     ApplyTarget(report, origin);
     return;
   }
-  const bool is_set_aside = removed_.SetAside(report);
+  const bool is_set_aside = removed_.SetAside(report, now);
   Observe(report, origin, is_set_aside ? ReportVerdict::kSetAside : ReportVerdict::kRemoved,
           std::nullopt);
 }
 
-void Registry::MergeTarget(const TargetChange& change) {
+void Registry::MergeTarget(const TargetChange& change, base::Instant now, StoreAccess access) {
   const bool is_outdated =
       change.is_confirmed ? removed_.HasLeft(change.target) : removed_.IsOutdated(change.target);
-  if (is_outdated) {
+  const bool is_doubtful = access == StoreAccess::kReads && !change.is_confirmed &&
+                           removed_.IsDoubtful(change.target, now);
+  if (is_outdated || is_doubtful) {
     Observe(change, ReportOrigin::kHost, ReportVerdict::kRemoved, std::nullopt);
   } else {
     ApplyTarget(change, ReportOrigin::kHost);
@@ -143,8 +147,8 @@
 }
 
 Registry::Entries::iterator Registry::Erase(Entries::iterator it, StoreRevision revision,
-                                            base::Instant now) {
-  removals_.emplace_back(++sequence_, removed_.Add(it->second.target, revision, now));
+                                            base::Instant now, RemovalCause cause) {
+  removals_.emplace_back(++sequence_, removed_.Add(it->second.target, revision, cause, now));
   if (removals_.size() > kMaxRemovals) {
     compacted_sequence_ = removals_.front().first;
     removals_.pop_front();
@@ -152,7 +156,8 @@
   return targets_.erase(it);
 }
 
-void Registry::RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now) {
+void Registry::RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now,
+                            RemovalCause cause) {
   AdvanceNewest({.targets = revision});
   removed_.OnMissing(id, revision);
   const auto it = targets_.find(id);
@@ -162,7 +167,7 @@
     it->second.keep_until = *keep_until;
     return;
   }
-  Erase(it, revision, now);
+  Erase(it, revision, now, cause);
 }
 
 void Registry::OnStoreRegained(base::Instant lost_at, base::Instant now) {
@@ -197,7 +202,7 @@
   std::set<std::string_view> listed;
   for (const catalog::Target& it : targets) {
     listed.insert(it.id);
-    ReadTarget({.target = it, .revision = revision}, ReportOrigin::kListing);
+    ReadTarget({.target = it, .revision = revision}, ReportOrigin::kListing, now);
   }
   for (auto it = targets_.begin(); it != targets_.end();) {
     Entry& entry = it->second;
@@ -262,9 +267,11 @@
   std::set<std::string_view> listed;
   for (const TargetChange& it : changes.targets) {
     listed.insert(it.target.id);
-    MergeTarget(it);
+    MergeTarget(it, now, access);
+  }
+  for (const TargetRemoval& it : changes.removals) {
+    MergeRemoval(it, listed.contains(it.id), now, access);
   }
-  for (const TargetRemoval& it : changes.removals) MergeRemoval(it, now, access);
   // What this host has read in the store at a later position says more than a copy without it.
   const bool is_listing_newer =
       access == StoreAccess::kReads && changes.targets_revision <= targets_revision_;
@@ -284,7 +291,8 @@
   AdvanceTargets(changes.targets_revision);
 }
 
-void Registry::MergeRemoval(const TargetRemoval& removal, base::Instant now, StoreAccess access) {
+void Registry::MergeRemoval(const TargetRemoval& removal, bool is_listed_by_sender,
+                            base::Instant now, StoreAccess access) {
   const auto it = targets_.find(removal.id);
   if (it == targets_.end()) {
     removed_.Learn(removal, now);
@@ -292,14 +300,16 @@
   }
   // If it is listed since, this host may have read nothing but a report that was carried out late.
   const Entry& entry = it->second;
-  const bool is_back = entry.revision > removal.revision &&
-                       (entry.is_confirmed || !IsOutdated(entry.target.report, removal));
-  if (is_back) return;
+  const bool is_doubtful = access == StoreAccess::kReads && !is_listed_by_sender &&
+                           removed_.IsDoubtful(entry.target.report, removal, now);
+  const bool is_proven =
+      entry.is_confirmed || (!IsOutdated(entry.target.report, removal) && !is_doubtful);
+  if (entry.revision > removal.revision && is_proven) return;
   TargetChange listed{.target = entry.target, .revision = entry.revision};
   removed_.Learn(removal, now);
-  Erase(it, removal.revision, now);
   // The target may be live, and the store may not tell of a newer report.
-  if (access == StoreAccess::kReads) removed_.SetAside(std::move(listed));
+  if (access == StoreAccess::kReads) removed_.SetAside(std::move(listed), now);
+  Erase(it, removal.revision, now);
 }
 
 base::Instant Registry::Expire(base::Instant now) {
--- a/src/discovery/internal/removed_targets.cc
+++ b/src/discovery/internal/removed_targets.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <iterator>
 #include <utility>
 
 namespace mangonotch::discovery {
@@ -22,12 +23,16 @@
 }
 
 TargetRemoval RemovedTargets::Add(const catalog::Target& target, catalog::StoreRevision revision,
-                                  base::Instant now) {
+                                  RemovalCause cause, base::Instant now) {
+  // The target itself may be well although its entry is not, so that its next report is no more
+  // doubtful than one that comes long after a removal.
+  const base::Duration age =
+      cause == RemovalCause::kUnreadable ? timing_.late_call_time : base::Duration();
   return Insert({.id = target.id,
                  .revision = revision,
                  .last_report = target.report,
                  .was_draining = target.is_draining,
-                 .forget_at = now + memory_time_});
+                 .forget_at = now + timing_.memory_time - age});
 }
 
 void RemovedTargets::Learn(const TargetRemoval& removal, base::Instant now) {
@@ -72,7 +77,23 @@
   return removal != nullptr && HasDrained(target.report, *removal);
 }
 
-bool RemovedTargets::SetAside(TargetChange report) {
+bool RemovedTargets::IsDoubtful(const catalog::Target& target, base::Instant now) const {
+  const auto it = removed_.find(target.id);
+  if (it == removed_.end()) return false;
+  const std::optional<TargetChange>& report = it->second.report;
+  // A later listing of the same report proves nothing before its time.
+  const bool is_set_aside = report && report->target.report == target.report;
+  return is_set_aside || IsDoubtful(target.report, it->second.removal, now);
+}
+
+bool RemovedTargets::IsDoubtful(const catalog::ReportPosition& report, const TargetRemoval& removal,
+                                base::Instant now) const {
+  const base::Instant removed_at = removal.forget_at - timing_.memory_time;
+  return now < removed_at + timing_.late_call_time &&
+         catalog::IsSameIncarnation(report, removal.last_report);
+}
+
+bool RemovedTargets::SetAside(TargetChange report, base::Instant now) {
   const auto it = removed_.find(report.target.id);
   if (it == removed_.end()) return false;
   TargetRemoval& removal = it->second.removal;
@@ -80,8 +101,13 @@
   removal.was_draining = removal.was_draining || (is_same && report.target.is_draining);
   if (HasLeft(report.target)) return false;
   if (report.revision <= removal.revision) return false;
+  std::optional<TargetChange>& known = it->second.report;
+  if (!known || known->target.report != report.target.report) {
+    const bool is_outdated = discovery::IsOutdated(report.target.report, removal);
+    it->second.proven_at = is_outdated ? base::Instant::Never() : now + timing_.lapse_time;
+  }
   report.is_confirmed = true;
-  it->second.report = std::move(report);
+  known = std::move(report);
   return true;
 }
 
@@ -99,19 +125,17 @@
 }
 
 void RemovedTargets::Renew(base::Instant now) {
-  for (auto& [id, it] : removed_) it.removal.forget_at = now + memory_time_;
+  for (auto& [id, it] : removed_) it.removal.forget_at = now + timing_.memory_time;
 }
 
 std::vector<TargetChange> RemovedTargets::TakeExpired(base::Instant now) {
   std::vector<TargetChange> reports;
   for (auto it = removed_.begin(); it != removed_.end();) {
     Removed& removed = it->second;
-    if (removed.removal.forget_at > now) {
-      ++it;
-      continue;
-    }
-    if (removed.report) reports.push_back(std::move(*removed.report));
-    it = removed_.erase(it);
+    const bool is_forgotten = removed.removal.forget_at <= now;
+    const bool is_proven = removed.report && DueAt(removed) <= now;
+    if (is_proven) reports.push_back(std::move(*removed.report));
+    it = is_forgotten || is_proven ? removed_.erase(it) : std::next(it);
   }
   return reports;
 }
@@ -119,7 +143,7 @@
 base::Instant RemovedTargets::NextExpiry() const {
   base::Instant next = base::Instant::Never();
   for (const auto& [id, it] : removed_) {
-    if (it.report) next = std::min(next, it.removal.forget_at);
+    if (it.report) next = std::min(next, DueAt(it));
   }
   return next;
 }
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -36,8 +36,9 @@
 class Registry {
  public:
   /// `observer` may be empty.
-  explicit Registry(const OutageTiming& timing, ReportObserver observer = {})
-      : outage_(timing), removed_(timing.removal_memory_time), observer_(std::move(observer)) {}
+  explicit Registry(const OutageTiming& outage, const RemovalTiming& removal = {},
+                    ReportObserver observer = {})
+      : outage_(outage), removed_(removal), observer_(std::move(observer)) {}
 
   // Call these in the order of the revisions. A report of a target that the target made before the
   // known one, a configuration without a higher version and an evacuation older than the applied
@@ -46,10 +47,12 @@
   // back by what it had reported before. A revision of a newer era means that the store has been
   // restored from an older copy; what the copy lacks is then kept for the recovery time.
 
-  void PutTarget(const catalog::Target& target, StoreRevision revision);
+  /// `now` matters only for a target that was removed.
+  void PutTarget(const catalog::Target& target, StoreRevision revision, base::Instant now = {});
   /// A target that is removed during the recovery from a store outage without having been draining
   /// is kept until the end of the recovery: its lease may have expired in the outage.
-  void RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now);
+  void RemoveTarget(std::string_view id, StoreRevision revision, base::Instant now,
+                    RemovalCause cause = RemovalCause::kDeleted);
   /// The store does not answer this host. Removals are not forgotten until it does, or until
   /// another host has sent changes.
   void OnStoreLost() { is_store_lost_ = true; }
@@ -137,9 +140,9 @@
   /// newer era.
   void ObserveTargetsEra(StoreRevision revision, base::Instant now);
   /// Applies a report that this host has read in the store, or sets it aside.
-  void ReadTarget(const TargetChange& report, ReportOrigin origin);
+  void ReadTarget(const TargetChange& report, ReportOrigin origin, base::Instant now);
   /// Applies a change that another host has sent, unless it is known to be outdated.
-  void MergeTarget(const TargetChange& change);
+  void MergeTarget(const TargetChange& change, base::Instant now, StoreAccess access);
   /// Enters or updates the target, unless it was removed at or after the revision.
   void ApplyTarget(const TargetChange& change, ReportOrigin origin);
   /// Whether the target may get requests; nullopt if it is not listed.
@@ -165,9 +168,12 @@
   /// be removed at once.
   std::optional<base::Instant> KeepUntil(const Entry& entry, base::Instant now) const;
   void MergeTargets(const CatalogChanges& changes, base::Instant now, StoreAccess access);
-  void MergeRemoval(const TargetRemoval& removal, base::Instant now, StoreAccess access);
+  /// `is_listed_by_sender`: the sender has the target in use again.
+  void MergeRemoval(const TargetRemoval& removal, bool is_listed_by_sender, base::Instant now,
+                    StoreAccess access);
   /// Removes the entry, records the removal and returns the next entry.
-  Entries::iterator Erase(Entries::iterator it, StoreRevision revision, base::Instant now);
+  Entries::iterator Erase(Entries::iterator it, StoreRevision revision, base::Instant now,
+                          RemovalCause cause = RemovalCause::kDeleted);
   void SetEvacuated(std::string_view zone, bool is_evacuated, base::Instant now);
   /// Keeps evacuations in force that the copy lacks which the store was restored from.
   void KeepEvacuations(std::span<const std::string> listed, base::Instant now);
--- a/src/discovery/store_outage.h
+++ b/src/discovery/store_outage.h
@@ -16,8 +16,6 @@
   base::Duration min_outage;
   /// A live target whose entry has expired is registered again within this time after the outage.
   base::Duration recovery_time;
-  /// See RemovedTargets.
-  base::Duration removal_memory_time = base::Duration::Seconds(60);
 };
 
 class StoreOutage {
--- a/tests/edge_tests/late_report_test.cc
+++ b/tests/edge_tests/late_report_test.cc
@@ -73,6 +73,20 @@
   CheckNeverLoggedAfter(deployment, "targets=1", "targets=2");
 }
 
+TEST_CASE("The last report of a target that has left without draining does not bring it back") {
+  EdgeDeployment deployment("last-report-after-removal", 2, Duration::Milliseconds(20));
+  REQUIRE(deployment.RunUntilReady());
+  platform::testing::StandInStore& store = deployment.store();
+  const std::string key = deployment.worker(0).EntryKey();
+  const std::string last = deployment.NextReport(0, false);
+  store.Delete(key);
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=1 draining=0"));
+  store.Put(key, last);
+  store.Put(deployment.worker(1).EntryKey(), deployment.NextReport(1, true));
+  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "draining=1"));
+  CheckNeverLoggedAfter(deployment, "targets=1", "targets=2");
+}
+
 TEST_CASE("A host that starts after a late report learns from another that the target drains") {
   EdgeDeployment deployment("late-report-restart", 2, Duration::Milliseconds(20));
   REQUIRE(deployment.RunUntilReady());
