--- a/src/discovery/tests/report_order_test.cc
+++ b/src/discovery/tests/report_order_test.cc
@@ -67,6 +67,17 @@
     const std::vector<catalog::Target> listed = {Ready(6)};
     host.registry.ReplaceTargets(listed, 12, At(0));
   }
+  SECTION("Read in a listing after an outage of the store") {
+    host.registry.OnStoreLost();
+    host.registry.OnStoreRegained(At(-4000), At(0));
+    const std::vector<catalog::Target> listed = {Ready(6)};
+    host.registry.ReplaceTargets(listed, 12, At(100));
+  }
+  SECTION("Told by another host that has read nothing else") {
+    Host other;
+    other.registry.PutTarget(Ready(6), 12);
+    host.registry.Merge(other.registry.ChangesSince(0), At(0));
+  }
   REQUIRE(host.Known()->is_draining);
   host.registry.PutTarget(Draining(8), 13);
   REQUIRE(host.Known()->is_draining);
--- a/src/steering/tests/engine_test.cc
+++ b/src/steering/tests/engine_test.cc
@@ -295,6 +295,25 @@
   REQUIRE(harness.port.sent.back().id == behind);
 }
 
+// Guards against requests that were taken before the target reported that it drains.
+TEST_CASE("A retry, a hedge and a waiting request avoid a target that has begun to drain") {
+  catalog::Target target = MakeTarget("t1", "status", "a1", 1);
+  EngineHarness harness({target});
+  const ExchangeId first = harness.Request("/look/1", 0);
+  // Wait for the only slots: one request runs and two more are queued at the target.
+  harness.Request("/look/2", 1);
+  harness.Request("/look/3", 2);
+  const ExchangeId waiting = harness.Request("/look/4", 3);
+  const std::size_t sent = harness.port.sent.size();
+  REQUIRE(harness.engine.IsOpen(waiting));
+  target.is_draining = true;
+  harness.Apply({target}, 40);
+  harness.Outcome(first, AttemptResult::kFailed, 50);
+  for (std::int64_t ms = 60; ms < 1200; ms += 20) harness.engine.OnTimer(At(ms));
+  REQUIRE(harness.port.sent.size() == sent);
+  REQUIRE_FALSE(harness.engine.IsOpen(waiting));
+}
+
 TEST_CASE("A target that returns has the load of the requests that it still serves") {
   EngineHarness harness({MakeTarget("t1", "status", "a1", 1), MakeTarget("t2", "status", "a1", 1)});
   const ExchangeId id = harness.Request("/file/1", 0);
