--- a/src/discovery/tests/removed_targets_test.cc
+++ b/src/discovery/tests/removed_targets_test.cc
@@ -3,11 +3,15 @@
 // older report after the removal of the entry, or listed it again from an older copy.
 #include "discovery/removed_targets.h"
 
+#include <rapidcheck.h>
+
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "discovery/registry.h"
+#include "discovery/tests/reports.h"
 
 namespace mangonotch::discovery {
 namespace {
@@ -15,30 +19,13 @@
 constexpr std::int64_t kMemoryMs = 60'000;
 constexpr std::int64_t kLateCallMs = 8'000;
 constexpr std::int64_t kLapseMs = 6'000;
-constexpr OutageTiming kTiming = {.min_outage = base::Duration::Seconds(3),
-                                  .recovery_time = base::Duration::Milliseconds(2500)};
 constexpr RemovalTiming kRemovalTiming = {
     .memory_time = base::Duration::Milliseconds(kMemoryMs),
     .late_call_time = base::Duration::Milliseconds(kLateCallMs),
     .lapse_time = base::Duration::Milliseconds(kLapseMs)};
-constexpr std::int64_t kStartMs = 1'764'850'000'123;
-constexpr std::int64_t kRestartMs = kStartMs + 60'000;
-
-base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
 
 StoreRevision Restored(std::uint64_t revision) { return catalog::MakeRevision(1, revision); }
 
-catalog::Target Report(std::uint64_t sequence, bool is_draining = false,
-                       std::int64_t started_at_ms = kStartMs) {
-  catalog::Target target;
-  target.id = "t1";
-  target.service = "status";
-  target.zone = "a1";
-  target.is_draining = is_draining;
-  target.report = {.started_at_ms = started_at_ms, .sequence = sequence};
-  return target;
-}
-
 /// A host that knows of the removal of the target, at 0 ms and revision 20, after its report 7.
 struct Host {
   explicit Host(bool was_draining = false) {
@@ -118,6 +105,41 @@
   }
 }
 
+TEST_CASE(
+    "A target that has left is never used again, whichever of its calls the store does late") {
+  constexpr std::int64_t kHeartbeatMs = 1500;
+  constexpr std::int64_t kLapsedMs = 3 * kHeartbeatMs;
+  constexpr std::int64_t kMaxLateMs = 6000;
+  constexpr std::int64_t kTickMs = 50;
+  REQUIRE(rc::check([=] {
+    const auto removed_ms = *rc::gen::inRange<std::int64_t>(0, 6 * kHeartbeatMs);
+    // By the time at which the store carries it out.
+    std::multimap<std::int64_t, std::uint64_t> reports;
+    for (std::int64_t ms = 0; ms <= removed_ms; ms += kHeartbeatMs) {
+      // A target that is heard of for the first time after its removal looks like a new one.
+      const bool is_late = ms > 0 && *rc::gen::arbitrary<bool>();
+      const auto late_ms = is_late ? *rc::gen::inRange<std::int64_t>(1000, kMaxLateMs + 1) : 0;
+      reports.emplace(ms + late_ms, static_cast<std::uint64_t>(ms / kHeartbeatMs + 1));
+    }
+    Registry registry(kTiming, kRemovalTiming);
+    StoreRevision revision = 10;
+    std::int64_t lapses_ms = removed_ms;
+    for (std::int64_t ms = 0; ms < 2 * kMemoryMs; ms += kTickMs) {
+      const auto last = reports.lower_bound(ms + kTickMs);
+      for (auto it = reports.lower_bound(ms); it != last; ++it) {
+        registry.PutTarget(Report(it->second), ++revision, At(ms));
+        if (ms > removed_ms) lapses_ms = ms + kLapsedMs;
+      }
+      if (lapses_ms >= ms && lapses_ms < ms + kTickMs) {
+        registry.RemoveTarget("t1", ++revision, At(ms));
+      }
+      registry.Expire(At(ms));
+      const auto catalog = registry.TakeUpdatedCatalog();
+      if (catalog && ms > removed_ms) RC_ASSERT(catalog->targets.empty());
+    }
+  }));
+}
+
 TEST_CASE(
     "A target whose entry lapses is used as soon as it reports again, if calls are not late") {
   Host host;
--- a/src/discovery/tests/report_decision_test.cc
+++ b/src/discovery/tests/report_decision_test.cc
@@ -7,26 +7,11 @@
 #include <vector>
 
 #include "discovery/registry.h"
+#include "discovery/tests/reports.h"
 
 namespace mangonotch::discovery {
 namespace {
 
-constexpr OutageTiming kTiming = {.min_outage = base::Duration::Seconds(3),
-                                  .recovery_time = base::Duration::Milliseconds(2500)};
-constexpr std::int64_t kStartMs = 1'764'850'000'123;
-
-base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
-
-catalog::Target Report(std::uint64_t sequence, bool is_draining = false) {
-  catalog::Target target;
-  target.id = "t1";
-  target.service = "status";
-  target.zone = "a1";
-  target.is_draining = is_draining;
-  target.report = {.started_at_ms = kStartMs, .sequence = sequence};
-  return target;
-}
-
 /// A host and the decisions that its observer was told of, as in
 /// "7 draining, listing: outdated, believes 9".
 struct Host {
--- a/src/discovery/tests/report_order_test.cc
+++ b/src/discovery/tests/report_order_test.cc
@@ -11,32 +11,19 @@
 #include <vector>
 
 #include "discovery/registry.h"
+#include "discovery/tests/reports.h"
 
 namespace mangonotch::discovery {
 namespace {
 
-constexpr OutageTiming kTiming = {.min_outage = base::Duration::Seconds(3),
-                                  .recovery_time = base::Duration::Milliseconds(2500)};
-constexpr std::int64_t kStartMs = 1'764'850'000'123;
-constexpr std::int64_t kRestartMs = kStartMs + 60'000;
-
-base::Instant At(std::int64_t ms) { return base::Instant() + base::Duration::Milliseconds(ms); }
-
 catalog::Target Ready(std::optional<std::uint64_t> sequence,
                       std::int64_t started_at_ms = kStartMs) {
-  catalog::Target target;
-  target.id = "t1";
-  target.service = "status";
-  target.zone = "a1";
-  target.report = {.started_at_ms = started_at_ms, .sequence = sequence};
-  return target;
+  return Report(sequence, false, started_at_ms);
 }
 
 catalog::Target Draining(std::optional<std::uint64_t> sequence,
                          std::int64_t started_at_ms = kStartMs) {
-  catalog::Target target = Ready(sequence, started_at_ms);
-  target.is_draining = true;
-  return target;
+  return Report(sequence, true, started_at_ms);
 }
 
 /// What a host believes of the target.
