--- a/tests/edge_tests/late_report_test.cc
+++ b/tests/edge_tests/late_report_test.cc
@@ -40,86 +40,91 @@
   return has_listed;
 }
 
+/// Two hosts that know both targets, and a report of the first target that the store has not
+/// carried out.
+struct Fixture {
+  explicit Fixture(const std::string& name) : deployment(name, 2, Duration::Milliseconds(20)) {
+    REQUIRE(deployment.RunUntilReady());
+    late = deployment.NextReport(0, false);
+  }
+
+  /// False if a host does not log `text` in time.
+  bool RunUntilAllHaveLogged(const std::string& text) {
+    return deployment.RunUntilAllHaveLogged(kMaxTime, text);
+  }
+  /// The store carries out a report of the first target.
+  void Put(const std::string& report) { deployment.store().Put(key, report); }
+  void PutNext(bool is_draining) { Put(deployment.NextReport(0, is_draining)); }
+  /// The entry of the first target is removed, and all hosts know that.
+  void Remove() {
+    deployment.store().Delete(key);
+    REQUIRE(RunUntilAllHaveLogged("targets=1 draining=0"));
+  }
+  /// The other target reports that it drains, which all hosts read after what was put before.
+  void DrainOther(const std::string& logged) {
+    deployment.store().Put(deployment.worker(1).EntryKey(), deployment.NextReport(1, true));
+    REQUIRE(RunUntilAllHaveLogged(logged));
+  }
+
+  EdgeDeployment deployment;
+  const std::string key = deployment.worker(0).EntryKey();
+  std::string late;
+};
+
 }  // namespace
 
 TEST_CASE("A report that is carried out late does not send requests to a draining target") {
-  EdgeDeployment deployment("late-report", 2, Duration::Milliseconds(20));
-  REQUIRE(deployment.RunUntilReady());
-  platform::testing::StandInStore& store = deployment.store();
-  const std::string key = deployment.worker(0).EntryKey();
-  const std::string late = deployment.NextReport(0, false);
-  store.Put(key, deployment.NextReport(0, true));
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=2 draining=1"));
-  store.Put(key, late);
-  store.Put(deployment.worker(1).EntryKey(), deployment.NextReport(1, true));
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=2 draining=2"));
-  CheckNeverLoggedAfter(deployment, "draining=1", "draining=0");
+  Fixture fixture("late-report");
+  fixture.PutNext(true);
+  REQUIRE(fixture.RunUntilAllHaveLogged("targets=2 draining=1"));
+  fixture.Put(fixture.late);
+  fixture.DrainOther("targets=2 draining=2");
+  CheckNeverLoggedAfter(fixture.deployment, "draining=1", "draining=0");
 }
 
 TEST_CASE("A report that is carried out late does not bring back a target that has left") {
-  EdgeDeployment deployment("late-report-after-removal", 2, Duration::Milliseconds(20));
-  REQUIRE(deployment.RunUntilReady());
-  platform::testing::StandInStore& store = deployment.store();
-  const std::string key = deployment.worker(0).EntryKey();
-  const std::string late = deployment.NextReport(0, false);
-  store.Put(key, deployment.NextReport(0, false));
+  Fixture fixture("late-report-after-removal");
+  fixture.PutNext(false);
   // So that the late report is older than one that the hosts have read.
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "target_reported target=w-1 draining=false"));
-  store.Delete(key);
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=1 draining=0"));
-  store.Put(key, late);
-  store.Put(deployment.worker(1).EntryKey(), deployment.NextReport(1, true));
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=1 draining=1"));
-  CheckNeverLoggedAfter(deployment, "targets=1", "targets=2");
+  REQUIRE(fixture.RunUntilAllHaveLogged("target_reported target=w-1 draining=false"));
+  fixture.Remove();
+  fixture.Put(fixture.late);
+  fixture.DrainOther("targets=1 draining=1");
+  CheckNeverLoggedAfter(fixture.deployment, "targets=1", "targets=2");
 }
 
 TEST_CASE("The last report of a target that has left without draining does not bring it back") {
-  EdgeDeployment deployment("last-report-after-removal", 2, Duration::Milliseconds(20));
-  REQUIRE(deployment.RunUntilReady());
-  platform::testing::StandInStore& store = deployment.store();
-  const std::string key = deployment.worker(0).EntryKey();
-  const std::string last = deployment.NextReport(0, false);
-  store.Delete(key);
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=1 draining=0"));
-  store.Put(key, last);
-  store.Put(deployment.worker(1).EntryKey(), deployment.NextReport(1, true));
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "draining=1"));
-  CheckNeverLoggedAfter(deployment, "targets=1", "targets=2");
+  Fixture fixture("last-report-after-removal");
+  fixture.Remove();
+  fixture.Put(fixture.late);
+  fixture.DrainOther("draining=1");
+  CheckNeverLoggedAfter(fixture.deployment, "targets=1", "targets=2");
 }
 
 TEST_CASE("A host that starts after a late report learns from another that the target drains") {
-  EdgeDeployment deployment("late-report-restart", 2, Duration::Milliseconds(20));
-  REQUIRE(deployment.RunUntilReady());
-  platform::testing::StandInStore& store = deployment.store();
-  const std::string key = deployment.worker(0).EntryKey();
-  const std::string late = deployment.NextReport(0, false);
-  store.Put(key, deployment.NextReport(0, true));
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=2 draining=1"));
-  store.Put(key, late);
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "verdict=outdated"));
-  REQUIRE(RestartUnheard(deployment));
-  EdgeProcess& host = deployment.host(0);
-  const bool has_learnt = deployment.RunUntil(
+  Fixture fixture("late-report-restart");
+  fixture.PutNext(true);
+  REQUIRE(fixture.RunUntilAllHaveLogged("targets=2 draining=1"));
+  fixture.Put(fixture.late);
+  REQUIRE(fixture.RunUntilAllHaveLogged("verdict=outdated"));
+  REQUIRE(RestartUnheard(fixture.deployment));
+  EdgeProcess& host = fixture.deployment.host(0);
+  const bool has_learnt = fixture.deployment.RunUntil(
       kMaxTime, [&] { return host.HasLogged("source=host host=host-2 verdict=in_force"); });
   INFO(host.process->Output());
   REQUIRE(has_learnt);
 }
 
 TEST_CASE("A host that starts after a late report learns from another that the target has left") {
-  EdgeDeployment deployment("late-report-restart-after-removal", 2, Duration::Milliseconds(20));
-  REQUIRE(deployment.RunUntilReady());
-  platform::testing::StandInStore& store = deployment.store();
-  const std::string key = deployment.worker(0).EntryKey();
-  const std::string late = deployment.NextReport(0, false);
-  store.Put(key, deployment.NextReport(0, false));
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "target_reported target=w-1 draining=false"));
-  store.Delete(key);
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "targets=1 draining=0"));
-  store.Put(key, late);
-  REQUIRE(deployment.RunUntilAllHaveLogged(kMaxTime, "verdict=set_aside"));
-  REQUIRE(RestartUnheard(deployment));
-  EdgeProcess& host = deployment.host(0);
-  const bool has_learnt = deployment.RunUntil(kMaxTime, [&] {
+  Fixture fixture("late-report-restart-after-removal");
+  fixture.PutNext(false);
+  REQUIRE(fixture.RunUntilAllHaveLogged("target_reported target=w-1 draining=false"));
+  fixture.Remove();
+  fixture.Put(fixture.late);
+  REQUIRE(fixture.RunUntilAllHaveLogged("verdict=set_aside"));
+  REQUIRE(RestartUnheard(fixture.deployment));
+  EdgeProcess& host = fixture.deployment.host(0);
+  const bool has_learnt = fixture.deployment.RunUntil(kMaxTime, [&] {
     const std::string log = host.process->Output();
     return log.find("targets=1 ", log.rfind("targets_listed targets=2")) != std::string::npos;
   });
