--- a/src/discovery/internal/registry.cc
+++ b/src/discovery/internal/registry.cc
@@ -196,7 +196,7 @@
 }
 
 void Registry::ReplaceTargets(std::span<const catalog::Target> targets, StoreRevision revision,
-                              base::Instant now) {
+                              base::Instant now, const std::set<std::string_view>& unreadable) {
   if (revision < targets_revision_) return;
   ObserveTargetsEra(revision, now);
   std::set<std::string_view> listed;
@@ -212,7 +212,9 @@
       entry.keep_until = *keep_until;
       ++it;
     } else {
-      it = Erase(it, revision, now);
+      const bool is_unreadable = unreadable.contains(it->first);
+      it = Erase(it, revision, now,
+                 is_unreadable ? RemovalCause::kUnreadable : RemovalCause::kDeleted);
     }
   }
   removed_.OnListing([&](std::string_view id) { return listed.contains(id); }, revision);
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -70,9 +70,9 @@
   void AdvanceNewest(const StorePosition& newest) { newest_ = catalog::Latest(newest_, newest); }
 
   /// Replaces the targets by a full listing at `revision`. Those missing from the listing are
-  /// removed as by RemoveTarget.
+  /// removed as by RemoveTarget; `unreadable` are the identifiers of entries that name no target.
   void ReplaceTargets(std::span<const catalog::Target> targets, StoreRevision revision,
-                      base::Instant now);
+                      base::Instant now, const std::set<std::string_view>& unreadable = {});
   /// Replaces the operator records (the configuration and the zone evacuations) by a full listing
   /// at `revision`.
   void ReplaceOperatorRecords(std::shared_ptr<const catalog::Configuration> configuration,
--- a/src/discovery/tests/removed_targets_test.cc
+++ b/src/discovery/tests/removed_targets_test.cc
@@ -157,7 +157,10 @@
 TEST_CASE("A target whose entry could not be read is used as soon as it reports again") {
   Host host;
   host.registry.PutTarget(Report(1, false, kRestartMs), 30, At(100));
-  host.registry.RemoveTarget("t1", 31, At(200), RemovalCause::kUnreadable);
+  SECTION("Read in a watch") {
+    host.registry.RemoveTarget("t1", 31, At(200), RemovalCause::kUnreadable);
+  }
+  SECTION("Read in a listing") { host.registry.ReplaceTargets({}, 31, At(200), {"t1"}); }
   REQUIRE_FALSE(host.IsListed());
   host.registry.PutTarget(Report(2, false, kRestartMs), 32, At(300));
   REQUIRE(host.IsListed());
